--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Entry points: `make demo` and `make test` need nothing but a Debian machine.
+
+BUILD := build
+SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
+
+.PHONY: deps build demo test soak bench capacity format check-format lint clean
+
+deps:
+	scripts/install-deps.sh
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	ninja -C $(BUILD)
+
+OPERATOR ?= bibliobus
+
+demo: build
+	$(BUILD)/standins/Demo --build=$(BUILD) --operator_name=$(OPERATOR)
+
+test: build
+	scripts/run-tests.sh $(BUILD)
+
+# Runs the properties with fresh seeds, which are printed.
+soak: build
+	scripts/soak.sh $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+check-format: deps
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: build
+	run-clang-tidy -quiet -p $(BUILD) '.*/(packages|standins)/.*\.cpp$$' > $(BUILD)/lint.log 2>&1 \
+	  || { grep -E 'warning:|error:' $(BUILD)/lint.log | sort -u; exit 1; }
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/packages/agent/AgentNode.cpp
@@ -0,0 +1,387 @@
+#include "AgentNode.h"
+
+#include "StatusJson.h"
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr Duration kTick = Milliseconds(200);
+constexpr Duration kFabricTimeout = Milliseconds(1500);
+// A server that runs on past the deadline keeps its slot for this long.
+constexpr Duration kOverrunLimit = Seconds(30);
+// The last heartbeats and answers need a moment to leave.
+constexpr Duration kFlushTime = Milliseconds(300);
+constexpr const char* kAnnouncePath = "/-/announce";
+
+WorkEnd
+EndOf(HttpEnd aEnd)
+{
+  switch (aEnd) {
+    case HttpEnd::Answered:
+      return WorkEnd::Answered;
+    case HttpEnd::Refused:
+      return WorkEnd::NotSent;
+    case HttpEnd::Lost:
+      break;
+  }
+  return WorkEnd::Lost;
+}
+
+} // namespace
+
+AgentNode::AgentNode(Settings aSettings, uint64_t aIncarnation)
+  : m_settings(std::move(aSettings))
+  , m_incarnation(aIncarnation)
+  , m_server(HttpClientOptions{})
+  , m_fabric(HttpClientOptions{})
+  , m_admin([this](std::function<void()> aFunction) {
+    m_hub.Post(std::move(aFunction));
+  })
+  , m_supervisor("agent", {}, [this](const StepError& aError) {
+    m_startFailure = aError;
+  })
+{
+}
+
+Result<void>
+AgentNode::Start()
+{
+  AddRoutes();
+  AddChildren();
+  m_supervisor.Start(m_hub.Now());
+  if (m_startFailure) {
+    m_supervisor.Stop();
+    return tl::unexpected(*m_startFailure);
+  }
+  m_hub.Post([this] { Tick(); });
+  m_loop = std::thread([this] { m_hub.Run(); });
+  return {};
+}
+
+void
+AgentNode::AddChildren()
+{
+  m_supervisor.Add({ "peer-links",
+                     RestartPolicy::Never,
+                     [this] { return StartLinks(); },
+                     [] {} });
+  m_supervisor.Add(
+    { "admin-server",
+      RestartPolicy::Never,
+      [this]() -> Result<void> {
+        return m_admin.Start(m_settings.m_adminListen).map([](uint16_t aPort) {
+          Log(LogLevel::Info, "admin-listening", { { "port", aPort } });
+        });
+      },
+      [this] { m_admin.Stop(); } });
+}
+
+Result<void>
+AgentNode::StartLinks()
+{
+  m_hub.SetCallbacks(MakePeerCallbacks());
+  const std::string& listen = m_settings.m_peerListen;
+  size_t colon = listen.rfind(':');
+  std::string ip = listen.substr(0, colon);
+  uint16_t port = m_hub.Listen(
+    ip, static_cast<uint16_t>(std::stoi(listen.substr(colon + 1))));
+  if (port == 0) {
+    return Failure(Step::Listen, listen, "the address cannot be used");
+  }
+  MemberRecord self;
+  self.m_id = m_settings.m_id;
+  self.m_role = Role::Agent;
+  self.m_address = ip + ":" + std::to_string(port);
+  self.m_domain = m_settings.m_domain;
+  self.m_labels = m_settings.m_labels;
+  self.m_slots = m_settings.m_slots;
+  self.m_incarnation = m_incarnation;
+  m_announcer.emplace(Announcer::Options{}, self);
+
+  AgentOptions options;
+  options.m_server = self.m_id;
+  options.m_address = self.m_address;
+  options.m_incarnation = m_incarnation;
+  options.m_labels = self.m_labels;
+  options.m_admission.m_slots = m_settings.m_slots;
+  options.m_admission.m_longShare = m_settings.m_longShare;
+  options.m_drainGrace = m_settings.m_drainGrace;
+  m_core.emplace(options);
+  return {};
+}
+
+PeerCallbacks
+AgentNode::MakePeerCallbacks()
+{
+  PeerCallbacks callbacks;
+  callbacks.m_onReply = [this](const std::string& aAddress,
+                               const std::string& aBytes) {
+    OnPeerReply(aAddress, aBytes);
+  };
+  callbacks.m_onMessage = [this](uint64_t aLink, const std::string& aBytes) {
+    OnPeerMessage(aLink, aBytes);
+  };
+  callbacks.m_onNotSent = [](const std::string&, uint64_t) {};
+  callbacks.m_onLinkLost = [](const std::string&, Lane) {};
+  callbacks.m_onClientLost = [this](uint64_t aLink) {
+    Decide(BalancerLinkLost{ aLink });
+  };
+  return callbacks;
+}
+
+void
+AgentNode::AddRoutes()
+{
+  m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
+  m_admin.Add("POST /drain", [this](const HttpIncoming&) {
+    SetDraining(true);
+    return Status();
+  });
+  m_admin.Add("POST /undrain", [this](const HttpIncoming&) {
+    SetDraining(false);
+    return Status();
+  });
+}
+
+void
+AgentNode::OnPeerMessage(uint64_t aLink, const std::string& aBytes)
+{
+  Result<PeerMessage> message = DecodeMessage(aBytes, std::to_string(aLink));
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", message.error().m_peer },
+          { "detail", message.error().m_detail } });
+    return;
+  }
+  if (auto* forward = std::get_if<Forward>(&*message)) {
+    Decide(ForwardArrived{ aLink, std::move(*forward) });
+  } else if (auto* cancel = std::get_if<Cancel>(&*message)) {
+    Decide(CancelArrived{ aLink, *cancel });
+  } else {
+    Log(LogLevel::Warning, "message-not-for-an-agent", { { "link", aLink } });
+  }
+}
+
+void
+AgentNode::OnPeerReply(const std::string& aAddress, const std::string& aBytes)
+{
+  Result<PeerMessage> message = DecodeMessage(aBytes, aAddress);
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", aAddress }, { "detail", message.error().m_detail } });
+    return;
+  }
+  if (auto* reply = std::get_if<HeartbeatReply>(&*message)) {
+    OnHeartbeatReply(aAddress, *reply);
+  } else if (auto* delta = std::get_if<ConfigDelta>(&*message)) {
+    if (m_config.Apply(*delta) == ApplyResult::Applied) {
+      Log(LogLevel::Info,
+          "config-in-force",
+          { { "version", delta->m_toVersion }, { "from", aAddress } });
+      Decide(AgentConfigChanged{ m_config.Current() });
+    }
+  }
+}
+
+void
+AgentNode::OnHeartbeatReply(const std::string& aAddress,
+                            const HeartbeatReply& aReply)
+{
+  m_announcer->OnReply(m_hub.Now(), aReply);
+  uint64_t have = m_config.Current()->m_version;
+  if (aReply.m_configVersion > have && !aAddress.empty()) {
+    SendMessageTo(m_hub, aAddress, ConfigRequest{ have });
+  }
+}
+
+void
+AgentNode::Announce()
+{
+  AnnounceStep step =
+    m_announcer->OnTick(m_hub.Now(), m_config.Current()->m_version);
+  for (const SendToPeer& send : step.m_sends) {
+    SendMessageTo(m_hub, send.m_address, send.m_message);
+  }
+  if (!step.m_throughFabric) {
+    return;
+  }
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_host = m_settings.m_fabric;
+  call.m_path = kAnnouncePath;
+  call.m_contentType = "application/cbor";
+  call.m_body = EncodeMessage(*step.m_throughFabric);
+  call.m_timeout = kFabricTimeout;
+  m_fabric.Send(call, [this](const HttpResult& aResult) {
+    if (aResult.m_end != HttpEnd::Answered) {
+      return;
+    }
+    m_hub.Post([this, body = aResult.m_body] {
+      Result<PeerMessage> reply = DecodeMessage(body, m_settings.m_fabric);
+      if (reply && std::holds_alternative<HeartbeatReply>(*reply)) {
+        OnHeartbeatReply("", std::get<HeartbeatReply>(*reply));
+      }
+    });
+  });
+}
+
+void
+AgentNode::Tick()
+{
+  Announce();
+  Decide(AgentWake{});
+  m_supervisor.OnTick(m_hub.Now());
+  if (m_isStopping) {
+    FinishWhenQuiet();
+  }
+  m_hub.At(m_hub.Now() + kTick, [this] { Tick(); });
+}
+
+void
+AgentNode::Decide(const AgentEvent& aEvent)
+{
+  for (const AgentAction& action : m_core->OnEvent(m_hub.Now(), aEvent)) {
+    std::visit([this](const auto& aOne) { Carry(aOne); }, action);
+  }
+}
+
+void
+AgentNode::Carry(const StartWork& aAction)
+{
+  HttpCall call;
+  call.m_method = aAction.m_request.m_method;
+  call.m_host = m_settings.m_server;
+  call.m_path = aAction.m_request.m_path;
+  call.m_contentType = aAction.m_request.m_contentType;
+  call.m_body = aAction.m_request.m_body;
+  call.m_headers = { { "Bilberry-Work", std::to_string(aAction.m_work) },
+                     { "Bilberry-Deadline-Ms",
+                       std::to_string(ToMilliseconds(aAction.m_limit)) } };
+  call.m_timeout = aAction.m_limit + kOverrunLimit;
+  m_server.Send(call, [this, work = aAction.m_work](HttpResult aResult) {
+    m_hub.Post([this, work, result = std::move(aResult)] {
+      Decide(
+        WorkEnded{ work,
+                   EndOf(result.m_end),
+                   { result.m_status, result.m_contentType, result.m_body } });
+    });
+  });
+}
+
+void
+AgentNode::Carry(const CancelWork& aAction)
+{
+  HttpCall call;
+  call.m_method = "POST";
+  call.m_host = m_settings.m_server;
+  call.m_path = "/-/cancel?work=" + std::to_string(aAction.m_work);
+  // Whether or not the server heeds it, the slot stays taken until the work
+  // itself ends.
+  m_server.Send(call, [](const HttpResult&) {});
+}
+
+void
+AgentNode::Carry(const SendAnswer& aAction)
+{
+  m_hub.SendOn(aAction.m_link, EncodeMessage(aAction.m_answer));
+}
+
+void
+AgentNode::Carry(const AgentWakeAt& aAction)
+{
+  if (aAction.m_at >= m_nextWake) {
+    return;
+  }
+  m_nextWake = aAction.m_at;
+  m_hub.At(aAction.m_at, [this, at = aAction.m_at] {
+    if (m_nextWake == at) {
+      m_nextWake = TimePoint::max();
+    }
+    Decide(AgentWake{});
+  });
+}
+
+void
+AgentNode::SetDraining(bool aIsDraining)
+{
+  if (m_core->IsDraining() == aIsDraining) {
+    return;
+  }
+  m_announcer->SetState(aIsDraining ? MemberState::Draining
+                                    : MemberState::Alive);
+  Decide(DrainChanged{ aIsDraining });
+  Announce();
+  LoadReport load = m_core->Load();
+  Log(LogLevel::Info,
+      aIsDraining ? "drain-started" : "drain-cancelled",
+      { { "running", load.m_running }, { "queued", load.m_queued } });
+}
+
+void
+AgentNode::BeginShutdown()
+{
+  m_hub.Post([this] {
+    m_isStopping = true;
+    m_stopSince = m_hub.Now();
+    SetDraining(true);
+  });
+}
+
+void
+AgentNode::FinishWhenQuiet()
+{
+  TimePoint now = m_hub.Now();
+  Duration since = now - m_stopSince;
+  bool isQuiet = since >= m_settings.m_drainGrace + m_settings.m_drainLinger &&
+                 m_core->IsIdle();
+  bool isOverdue = since >= m_settings.m_drainLimit;
+  if (!isQuiet && !isOverdue) {
+    return;
+  }
+  m_isStopping = false;
+  Log(LogLevel::Info,
+      "drain-ended",
+      { { "idle", m_core->IsIdle() }, { "overdue", isOverdue } });
+  m_announcer->SetState(MemberState::Left);
+  Announce();
+  m_hub.At(now + kFlushTime, [this] { m_stopped.set_value(); });
+}
+
+void
+AgentNode::WaitUntilStopped()
+{
+  m_stopped.get_future().wait();
+  m_supervisor.Stop();
+  m_hub.Stop();
+  m_loop.join();
+}
+
+AdminAnswer
+AgentNode::Status() const
+{
+  LoadReport load = m_core->Load();
+  const MemberRecord& self = m_announcer->Self();
+  return { 200,
+           { { "role", "agent" },
+             { "id", self.m_id },
+             { "failure_domain", self.m_domain },
+             { "state", NameOf(kMemberStateNames, self.m_state) },
+             { "labels", self.m_labels },
+             { "config_version", m_config.Current()->m_version },
+             { "running", load.m_running },
+             { "queued", load.m_queued },
+             { "slots", load.m_slots },
+             { "flows", m_core->FlowCount() },
+             { "ledger_entries", m_core->LedgerSize() },
+             { "served", m_core->ServedCount() },
+             { "links", m_hub.LinkCount() },
+             { "link_bytes_sent", m_hub.BytesSent() },
+             { "link_bytes_received", m_hub.BytesReceived() },
+             { "refusals", CountersToJson(kRefusalNames, m_core->Refusals()) },
+             { "supervisor", SupervisorToJson(m_supervisor) } } };
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/agent/AgentNode.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "AdminServer.h"
+#include "AgentCore.h"
+#include "Announcer.h"
+#include "HttpClient.h"
+#include "PeerDispatch.h"
+#include "Settings.h"
+#include "Supervisor.h"
+
+#include <future>
+#include <thread>
+
+namespace bilberryfield {
+
+/** The agent process: carries out what its decision cores ask for. */
+class AgentNode
+{
+public:
+  /** aIncarnation must be greater than that of any earlier start. */
+  AgentNode(Settings aSettings, uint64_t aIncarnation);
+
+  /** Starts the process's parts; the error tells which could not start. */
+  Result<void> Start();
+
+  /** Begins a graceful shutdown; any thread. */
+  void BeginShutdown();
+
+  /** Waits until the shutdown is over. */
+  void WaitUntilStopped();
+
+private:
+  void AddChildren();
+  void AddRoutes();
+  PeerCallbacks MakePeerCallbacks();
+  Result<void> StartLinks();
+  void OnPeerMessage(uint64_t aLink, const std::string& aBytes);
+  void OnPeerReply(const std::string& aAddress, const std::string& aBytes);
+  void OnHeartbeatReply(const std::string& aAddress,
+                        const HeartbeatReply& aReply);
+  void Tick();
+  void Announce();
+  void SetDraining(bool aIsDraining);
+  void FinishWhenQuiet();
+  void Decide(const AgentEvent& aEvent);
+  void Carry(const StartWork& aAction);
+  void Carry(const CancelWork& aAction);
+  void Carry(const SendAnswer& aAction);
+  void Carry(const AgentWakeAt& aAction);
+  AdminAnswer Status() const;
+
+  Settings m_settings;
+  uint64_t m_incarnation;
+  PeerHub m_hub;
+  std::optional<AgentCore> m_core;
+  std::optional<Announcer> m_announcer;
+  ConfigState m_config;
+  HttpClient m_server;
+  HttpClient m_fabric;
+  AdminServer m_admin;
+  Supervisor m_supervisor;
+  std::optional<StepError> m_startFailure;
+  TimePoint m_nextWake = TimePoint::max();
+  bool m_isStopping = false;
+  TimePoint m_stopSince;
+  std::promise<void> m_stopped;
+  std::thread m_loop;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/balancer/BalancerNode.cpp
@@ -0,0 +1,502 @@
+#include "BalancerNode.h"
+
+#include "CallerProtocol.h"
+#include "Rendezvous.h"
+#include "StatusJson.h"
+
+namespace bilberryfield {
+
+namespace {
+
+const Duration kTick = MembershipOptions().m_tick;
+// The fabric needs this long to see that a balancer drains.
+constexpr Duration kFabricNotice = Milliseconds(1500);
+// Answers that were handed to the HTTP server need a moment to leave.
+constexpr Duration kFlushTime = Milliseconds(300);
+constexpr size_t kWatchersPerDomain = 2;
+
+} // namespace
+
+BalancerNode::BalancerNode(Settings aSettings, uint64_t aIncarnation)
+  : m_settings(std::move(aSettings))
+  , m_incarnation(aIncarnation)
+  , m_core({}, StableHash(m_settings.m_id, aIncarnation))
+  , m_callers({},
+              [this](HttpIncoming aIncoming, HttpReply aReply) {
+                OnCallerMessage(std::move(aIncoming), std::move(aReply));
+              })
+  , m_admin([this](std::function<void()> aFunction) {
+    m_hub.Post(std::move(aFunction));
+  })
+  , m_watcher(m_settings.m_platform,
+              m_settings.m_domain,
+              { [this](ConfigDelta aDelta) {
+                 m_hub.Post([this, delta = std::move(aDelta)] {
+                   ApplyDelta(delta, m_settings.m_platform);
+                 });
+               },
+                [this](std::vector<std::string> aSeeds) {
+                  m_hub.Post([this, seeds = std::move(aSeeds)] {
+                    m_membership->AddSeeds(seeds);
+                  });
+                } })
+  , m_supervisor("balancer", {}, [this](const StepError& aError) {
+    m_startFailure = aError;
+  })
+{
+}
+
+Result<void>
+BalancerNode::Start()
+{
+  AddRoutes();
+  AddChildren();
+  m_supervisor.Start(m_hub.Now());
+  if (m_startFailure) {
+    m_supervisor.Stop();
+    return tl::unexpected(*m_startFailure);
+  }
+  m_hub.Post([this] { Tick(); });
+  m_loop = std::thread([this] { m_hub.Run(); });
+  return {};
+}
+
+void
+BalancerNode::AddChildren()
+{
+  m_supervisor.Add({ "peer-links",
+                     RestartPolicy::Never,
+                     [this] { return StartLinks(); },
+                     [] {} });
+  m_supervisor.Add({ "config-watcher",
+                     RestartPolicy::Always,
+                     [this]() -> Result<void> {
+                       m_watcher.Start(m_membership->Self().m_address);
+                       return {};
+                     },
+                     [this] { m_watcher.Stop(); } });
+  m_supervisor.Add(
+    { "caller-server",
+      RestartPolicy::Never,
+      [this]() -> Result<void> {
+        return m_callers.Start(m_settings.m_callerListen)
+          .map([](uint16_t aPort) {
+            Log(LogLevel::Info, "callers-listening", { { "port", aPort } });
+          });
+      },
+      [this] { m_callers.Stop(); } });
+  m_supervisor.Add(
+    { "admin-server",
+      RestartPolicy::Never,
+      [this]() -> Result<void> {
+        return m_admin.Start(m_settings.m_adminListen).map([](uint16_t aPort) {
+          Log(LogLevel::Info, "admin-listening", { { "port", aPort } });
+        });
+      },
+      [this] { m_admin.Stop(); } });
+}
+
+Result<void>
+BalancerNode::StartLinks()
+{
+  m_hub.SetCallbacks(MakePeerCallbacks());
+  const std::string& listen = m_settings.m_peerListen;
+  size_t colon = listen.rfind(':');
+  std::string ip = listen.substr(0, colon);
+  uint16_t port = m_hub.Listen(
+    ip, static_cast<uint16_t>(std::stoi(listen.substr(colon + 1))));
+  if (port == 0) {
+    return Failure(Step::Listen, listen, "the address cannot be used");
+  }
+  MemberRecord self;
+  self.m_id = m_settings.m_id;
+  self.m_role = Role::Balancer;
+  self.m_address = ip + ":" + std::to_string(port);
+  self.m_domain = m_settings.m_domain;
+  self.m_incarnation = m_incarnation;
+  m_membership.emplace(
+    Membership::Options{}, self, StableHash(self.m_id, m_incarnation));
+  return {};
+}
+
+PeerCallbacks
+BalancerNode::MakePeerCallbacks()
+{
+  PeerCallbacks callbacks;
+  callbacks.m_onReply = [this](const std::string& aAddress,
+                               const std::string& aBytes) {
+    OnPeerReply(aAddress, aBytes);
+  };
+  callbacks.m_onMessage = [this](uint64_t aLink, const std::string& aBytes) {
+    OnPeerMessage(aLink, aBytes);
+  };
+  callbacks.m_onNotSent = [this](const std::string&, uint64_t aTag) {
+    Decide(ForwardNotSent{ aTag });
+  };
+  callbacks.m_onLinkLost = [this](const std::string& aAddress, Lane aLane) {
+    Decide(AgentLinkLost{ aAddress, WorkOf(aLane) });
+  };
+  callbacks.m_onClientLost = [](uint64_t) {};
+  return callbacks;
+}
+
+void
+BalancerNode::AddRoutes()
+{
+  m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
+  m_admin.Add("GET /config",
+              [this](const HttpIncoming&) { return ShowConfig(); });
+  m_admin.Add("GET /explain", [this](const HttpIncoming& aRequest) {
+    return Explain(aRequest);
+  });
+}
+
+void
+BalancerNode::OnCallerMessage(HttpIncoming aIncoming, HttpReply aReply)
+{
+  if (aIncoming.m_path == "/-/health") {
+    return aReply({ static_cast<uint16_t>(m_isDraining ? 503 : 200),
+                    {},
+                    "text/plain",
+                    m_isDraining ? "draining\n" : "ready\n" });
+  }
+  m_hub.Post(
+    [this, incoming = std::move(aIncoming), reply = std::move(aReply)] {
+      if (incoming.m_path == "/-/announce") {
+        return OnAnnounce(incoming, reply);
+      }
+      m_lastCallerAt = m_hub.Now();
+      CallerRequest request = ReadCallerRequest(incoming);
+      request.m_id = m_nextCaller++;
+      m_replies[request.m_id] = reply;
+      Decide(request);
+    });
+}
+
+void
+BalancerNode::OnAnnounce(const HttpIncoming& aIncoming, const HttpReply& aReply)
+{
+  Result<PeerMessage> message =
+    DecodeMessage(aIncoming.m_body, aIncoming.m_peer);
+  if (!message || !std::holds_alternative<Heartbeat>(*message)) {
+    return aReply({ 400, {}, "text/plain", "not an announcement\n" });
+  }
+  HeartbeatReply reply = m_membership->OnHeartbeat(
+    m_hub.Now(), std::get<Heartbeat>(*message), m_config.Current()->m_version);
+  aReply({ 200, {}, "application/cbor", EncodeMessage(reply) });
+}
+
+void
+BalancerNode::OnPeerMessage(uint64_t aLink, const std::string& aBytes)
+{
+  Result<PeerMessage> message = DecodeMessage(aBytes, std::to_string(aLink));
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", message.error().m_peer },
+          { "detail", message.error().m_detail } });
+    return;
+  }
+  std::visit([&](const auto& aOne) { Handle(aLink, aOne); }, *message);
+}
+
+void
+BalancerNode::OnPeerReply(const std::string& aAddress,
+                          const std::string& aBytes)
+{
+  Result<PeerMessage> message = DecodeMessage(aBytes, aAddress);
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", aAddress }, { "detail", message.error().m_detail } });
+    return;
+  }
+  if (auto* answer = std::get_if<Answer>(&*message)) {
+    Decide(AgentAnswer{ aAddress, std::move(*answer) });
+  } else if (auto* reply = std::get_if<HeartbeatReply>(&*message)) {
+    m_membership->OnHeartbeatReply(*reply);
+    AskForConfig(aAddress, reply->m_configVersion);
+  } else if (auto* delta = std::get_if<ConfigDelta>(&*message)) {
+    ApplyDelta(*delta, aAddress);
+  }
+}
+
+void
+BalancerNode::Handle(uint64_t aLink, const Heartbeat& aHeartbeat)
+{
+  HeartbeatReply reply = m_membership->OnHeartbeat(
+    m_hub.Now(), aHeartbeat, m_config.Current()->m_version);
+  m_hub.SendOn(aLink, EncodeMessage(reply));
+}
+
+void
+BalancerNode::Handle(uint64_t /*aLink*/, const Gossip& aGossip)
+{
+  m_membership->OnGossip(m_hub.Now(), aGossip);
+  AskForConfig(aGossip.m_from, aGossip.m_configVersion);
+}
+
+void
+BalancerNode::Handle(uint64_t /*aLink*/, const SyncDigest& aDigest)
+{
+  Send(m_membership->OnSyncDigest(aDigest));
+}
+
+void
+BalancerNode::Handle(uint64_t /*aLink*/, const SyncRecords& aRecords)
+{
+  Send(m_membership->OnSyncRecords(m_hub.Now(), aRecords));
+}
+
+void
+BalancerNode::Handle(uint64_t aLink, const ConfigRequest& aRequest)
+{
+  m_hub.SendOn(aLink,
+               EncodeMessage(m_config.Current()->DeltaSince(aRequest.m_have)));
+}
+
+template<typename Other>
+void
+BalancerNode::Handle(uint64_t aLink, const Other& /*aOther*/)
+{
+  Log(LogLevel::Warning, "message-not-for-a-balancer", { { "link", aLink } });
+}
+
+void
+BalancerNode::AskForConfig(const std::string& aAddress, uint64_t aTheirVersion)
+{
+  uint64_t have = m_config.Current()->m_version;
+  if (aTheirVersion > have) {
+    SendMessageTo(m_hub, aAddress, ConfigRequest{ have });
+  }
+}
+
+void
+BalancerNode::ApplyDelta(const ConfigDelta& aDelta, const std::string& aFrom)
+{
+  if (m_config.Apply(aDelta) != ApplyResult::Applied) {
+    return;
+  }
+  m_watcher.Orders().m_haveVersion = aDelta.m_toVersion;
+  Log(LogLevel::Info,
+      "config-in-force",
+      { { "version", aDelta.m_toVersion },
+        { "publisher", aDelta.m_publisher },
+        { "from", aFrom } });
+  Decide(ConfigChanged{ m_config.Current() });
+}
+
+void
+BalancerNode::TellCoreOfMembers()
+{
+  bool isStale = m_membership->IsStale(m_hub.Now());
+  if (isStale != m_wasStale) {
+    m_wasStale = isStale;
+    Decide(StalenessChanged{ isStale });
+  }
+  if (m_toldMembers != m_membership->Version()) {
+    m_toldMembers = m_membership->Version();
+    Decide(MembersChanged{ m_membership->Records() });
+  }
+}
+
+void
+BalancerNode::Tick()
+{
+  TimePoint now = m_hub.Now();
+  Send(m_membership->OnTick(now, m_config.Current()->m_version));
+  TellCoreOfMembers();
+  m_watcher.Orders().m_isWatching = m_membership->Ring().IsAmongFirstOfDomain(
+    m_settings.m_id, m_settings.m_domain, kWatchersPerDomain);
+  m_supervisor.OnTick(now);
+  if (m_isDraining) {
+    FinishWhenQuiet();
+  }
+  m_hub.At(now + kTick, [this] { Tick(); });
+}
+
+void
+BalancerNode::Decide(const BalancerEvent& aEvent)
+{
+  for (const BalancerAction& action : m_core.OnEvent(m_hub.Now(), aEvent)) {
+    std::visit([this](const auto& aOne) { Carry(aOne); }, action);
+  }
+}
+
+void
+BalancerNode::Carry(const SendForward& aAction)
+{
+  m_hub.SendTo(aAction.m_address,
+               LaneOf(aAction.m_work),
+               { EncodeMessage(aAction.m_forward),
+                 aAction.m_forward.m_stream,
+                 Milliseconds(aAction.m_forward.m_remainingMs) });
+}
+
+void
+BalancerNode::Carry(const SendCancel& aAction)
+{
+  m_hub.SendTo(aAction.m_address,
+               LaneOf(aAction.m_work),
+               { EncodeMessage(aAction.m_cancel), 0, {} });
+}
+
+void
+BalancerNode::Carry(const AnswerCaller& aAction)
+{
+  m_outcomes[static_cast<size_t>(aAction.m_answer.m_outcome)] += 1;
+  auto found = m_replies.find(aAction.m_id);
+  HttpReply reply = std::move(found->second);
+  m_replies.erase(found);
+  reply(WriteCallerAnswer(aAction.m_answer));
+}
+
+void
+BalancerNode::Carry(const WakeAt& aAction)
+{
+  // One timer serves all deadlines; each wake arms the next one.
+  if (aAction.m_at >= m_nextWake) {
+    return;
+  }
+  m_nextWake = aAction.m_at;
+  m_hub.At(aAction.m_at, [this, at = aAction.m_at] {
+    if (m_nextWake == at) {
+      m_nextWake = TimePoint::max();
+    }
+    Decide(Wake{});
+  });
+}
+
+void
+BalancerNode::Send(const std::vector<SendToPeer>& aSends)
+{
+  for (const SendToPeer& send : aSends) {
+    SendMessageTo(m_hub, send.m_address, send.m_message);
+  }
+}
+
+void
+BalancerNode::BeginShutdown()
+{
+  m_isDraining = true;
+  m_hub.Post([this] {
+    m_drainSince = m_hub.Now();
+    m_membership->SetSelfState(MemberState::Draining);
+    Log(LogLevel::Info,
+        "drain-started",
+        { { "waiting", m_core.WaitingCount() } });
+  });
+}
+
+void
+BalancerNode::FinishWhenQuiet()
+{
+  TimePoint now = m_hub.Now();
+  bool isNoticed =
+    now - m_drainSince >= kFabricNotice && now - m_lastCallerAt >= kFlushTime;
+  bool isQuiet = isNoticed && m_core.WaitingCount() == 0;
+  bool isOverdue = now - m_drainSince >= m_settings.m_drainLimit;
+  if (!isQuiet && !isOverdue) {
+    return;
+  }
+  m_isDraining = false;
+  Log(LogLevel::Info,
+      "drain-ended",
+      { { "waiting", m_core.WaitingCount() }, { "overdue", isOverdue } });
+  m_membership->SetSelfState(MemberState::Left);
+  Send(m_membership->OnTick(now, m_config.Current()->m_version));
+  m_hub.At(now + kFlushTime, [this] { m_stopped.set_value(); });
+}
+
+void
+BalancerNode::WaitUntilStopped()
+{
+  m_stopped.get_future().wait();
+  m_supervisor.Stop();
+  m_hub.Stop();
+  m_loop.join();
+}
+
+AdminAnswer
+BalancerNode::Status() const
+{
+  nlohmann::json outcomes = nlohmann::json::object();
+  for (const auto& row : kOutcomeNames) {
+    outcomes[std::string(row.m_name)] =
+      m_outcomes[static_cast<size_t>(row.m_value)];
+  }
+  nlohmann::json members = nlohmann::json::array();
+  for (const MemberRecord& member : m_membership->Records()) {
+    members.push_back({ { "id", member.m_id },
+                        { "role", NameOf(kRoleNames, member.m_role) },
+                        { "address", member.m_address },
+                        { "failure_domain", member.m_domain },
+                        { "labels", member.m_labels },
+                        { "state", NameOf(kMemberStateNames, member.m_state) },
+                        { "accusers", member.m_accusers.size() },
+                        { "incarnation", member.m_incarnation } });
+  }
+  return { 200,
+           { { "role", "balancer" },
+             { "id", m_settings.m_id },
+             { "failure_domain", m_settings.m_domain },
+             { "config_version", m_config.Current()->m_version },
+             { "draining", m_isDraining.load() },
+             { "waiting", m_core.WaitingCount() },
+             { "links", m_hub.LinkCount() },
+             { "link_bytes_sent", m_hub.BytesSent() },
+             { "link_bytes_received", m_hub.BytesReceived() },
+             { "outcomes", outcomes },
+             { "refusals", CountersToJson(kRefusalNames, m_core.Refusals()) },
+             { "retries", CountersToJson(kRetryNames, m_core.Retries()) },
+             { "members", members },
+             { "supervisor", SupervisorToJson(m_supervisor) } } };
+}
+
+AdminAnswer
+BalancerNode::Explain(const HttpIncoming& aRequest) const
+{
+  std::string service = aRequest.Parameter("service");
+  std::string flow = aRequest.Parameter("flow");
+  std::string token = aRequest.Parameter("token");
+  nlohmann::json body = { { "service", service },
+                          { "flow", flow },
+                          { "config_version", m_config.Current()->m_version } };
+  body["service_known"] = m_config.Current()->FindByName(service) != nullptr;
+  nlohmann::json candidates = nlohmann::json::array();
+  for (const ServerRef& server : m_core.Explain(service, flow)) {
+    candidates.push_back({ { "server", server.m_id },
+                           { "address", server.m_address },
+                           { "incarnation", server.m_incarnation } });
+  }
+  body["candidates"] = std::move(candidates);
+  if (!token.empty()) {
+    Result<FlowToken> opened = OpenFlowToken(m_config.Current()->m_keys, token);
+    body["token"] =
+      opened
+        ? nlohmann::json{ { "service", opened->m_service },
+                          { "server", opened->m_binding.m_server },
+                          { "incarnation", opened->m_binding.m_incarnation } }
+        : nlohmann::json{ { "error", opened.error().m_detail } };
+  }
+  return { 200, std::move(body) };
+}
+
+AdminAnswer
+BalancerNode::ShowConfig() const
+{
+  const ConfigSnapshot& config = *m_config.Current();
+  nlohmann::json services = nlohmann::json::array();
+  for (const auto& [name, entry] : config.m_services) {
+    if (!entry.m_removed) {
+      services.push_back(ToJson(entry.m_config));
+    }
+  }
+  return { 200,
+           { { "version", config.m_version },
+             { "publisher", config.m_publisher },
+             { "publish_id", config.m_publishId },
+             { "services", std::move(services) } } };
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/balancer/BalancerNode.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "AdminServer.h"
+#include "BalancerCore.h"
+#include "ConfigWatcher.h"
+#include "Membership.h"
+#include "PeerDispatch.h"
+#include "Settings.h"
+#include "Supervisor.h"
+
+#include <future>
+
+namespace bilberryfield {
+
+/** The balancer process: carries out what its decision cores ask for. */
+class BalancerNode
+{
+public:
+  /** aIncarnation must be greater than that of any earlier start. */
+  BalancerNode(Settings aSettings, uint64_t aIncarnation);
+
+  /** Starts the process's parts; the error tells which could not start. */
+  Result<void> Start();
+
+  /** Begins a graceful shutdown; any thread. */
+  void BeginShutdown();
+
+  /** Waits until the shutdown is over. */
+  void WaitUntilStopped();
+
+private:
+  void AddChildren();
+  void AddRoutes();
+  PeerCallbacks MakePeerCallbacks();
+  Result<void> StartLinks();
+  void OnCallerMessage(HttpIncoming aIncoming, HttpReply aReply);
+  void OnAnnounce(const HttpIncoming& aIncoming, const HttpReply& aReply);
+  void OnPeerMessage(uint64_t aLink, const std::string& aBytes);
+  void OnPeerReply(const std::string& aAddress, const std::string& aBytes);
+  void Handle(uint64_t aLink, const Heartbeat& aHeartbeat);
+  void Handle(uint64_t aLink, const Gossip& aGossip);
+  void Handle(uint64_t aLink, const SyncDigest& aDigest);
+  void Handle(uint64_t aLink, const SyncRecords& aRecords);
+  void Handle(uint64_t aLink, const ConfigRequest& aRequest);
+  template<typename Other>
+  void Handle(uint64_t aLink, const Other& aOther);
+  void AskForConfig(const std::string& aAddress, uint64_t aTheirVersion);
+  void ApplyDelta(const ConfigDelta& aDelta, const std::string& aFrom);
+  void Tick();
+  void TellCoreOfMembers();
+  void Decide(const BalancerEvent& aEvent);
+  void Carry(const SendForward& aAction);
+  void Carry(const SendCancel& aAction);
+  void Carry(const AnswerCaller& aAction);
+  void Carry(const WakeAt& aAction);
+  void Send(const std::vector<SendToPeer>& aSends);
+  void FinishWhenQuiet();
+  AdminAnswer Status() const;
+  AdminAnswer Explain(const HttpIncoming& aRequest) const;
+  AdminAnswer ShowConfig() const;
+
+  Settings m_settings;
+  uint64_t m_incarnation;
+  PeerHub m_hub;
+  BalancerCore m_core;
+  std::optional<Membership> m_membership;
+  ConfigState m_config;
+  HttpServer m_callers;
+  AdminServer m_admin;
+  ConfigWatcher m_watcher;
+  Supervisor m_supervisor;
+  std::optional<StepError> m_startFailure;
+  std::unordered_map<uint64_t, HttpReply> m_replies;
+  uint64_t m_nextCaller = 1;
+  uint64_t m_toldMembers = 0;
+  bool m_wasStale = false;
+  TimePoint m_nextWake = TimePoint::max();
+  std::atomic<bool> m_isDraining{ false };
+  TimePoint m_drainSince;
+  TimePoint m_lastCallerAt;
+  std::array<uint64_t, kOutcomeNames.size()> m_outcomes{};
+  std::promise<void> m_stopped;
+  std::thread m_loop;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/balancer/CallerProtocol.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "BalancerCore.h"
+#include "HttpMessage.h"
+
+namespace bilberryfield {
+
+/** Headers between callers, the fabric and the balancers; see CALLERS.md. */
+namespace headers {
+inline constexpr const char* kServiceAddress = "Bilberry-Service-Address";
+inline constexpr const char* kFlow = "Bilberry-Flow";
+inline constexpr const char* kToken = "Bilberry-Flow-Token";
+inline constexpr const char* kClass = "Bilberry-Class";
+inline constexpr const char* kRequestId = "Bilberry-Request-Id";
+inline constexpr const char* kAttempt = "Bilberry-Attempt";
+inline constexpr const char* kSequence = "Bilberry-Sequence";
+inline constexpr const char* kTimeout = "Bilberry-Timeout-Ms";
+inline constexpr const char* kOutcome = "Bilberry-Outcome";
+inline constexpr const char* kReason = "Bilberry-Reason";
+inline constexpr const char* kServer = "Bilberry-Server";
+inline constexpr const char* kRetryAfterMs = "Bilberry-Retry-After-Ms";
+}
+
+/** Reads a caller's message; its id is left 0. */
+CallerRequest
+ReadCallerRequest(const HttpIncoming& aIncoming);
+
+/** HTTP form of a final answer. */
+HttpOutgoing
+WriteCallerAnswer(const CallerAnswer& aAnswer);
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/balancer/ConfigWatcher.cpp
@@ -0,0 +1,187 @@
+#include "ConfigWatcher.h"
+
+#include "ConfigReader.h"
+#include "Log.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kSeedsPerDomain = 8;
+constexpr Duration kWatchWait = Seconds(2);
+constexpr Duration kRetryPause = Milliseconds(500);
+// Nodes that do not watch learn of changes by gossip; a rare look bounds the
+// time for which a node that gossip misses can be behind.
+constexpr int kIdleLooks = 120;
+const std::string kSeedPrefix = "members/";
+
+std::vector<std::string>
+ParseSeeds(const std::string& aText)
+{
+  nlohmann::json list = nlohmann::json::parse(aText, nullptr, false);
+  if (!list.is_array()) {
+    return {};
+  }
+  return list.get<std::vector<std::string>>();
+}
+
+void
+LogFailure(const StepError& aError)
+{
+  Log(LogLevel::Warning,
+      "platform-call-failed",
+      { { "step", NameOf(kStepNames, aError.m_step) },
+        { "peer", aError.m_peer },
+        { "detail", aError.m_detail } });
+}
+
+} // namespace
+
+ConfigWatcher::ConfigWatcher(std::string aPlatform,
+                             std::string aDomain,
+                             WatcherCallbacks aCallbacks)
+  : m_domain(std::move(aDomain))
+  , m_callbacks(std::move(aCallbacks))
+  , m_platform(std::move(aPlatform))
+{
+}
+
+ConfigWatcher::~ConfigWatcher()
+{
+  Stop();
+}
+
+void
+ConfigWatcher::Start(const std::string& aOwnAddress)
+{
+  m_ownAddress = aOwnAddress;
+  m_isStopping = false;
+  m_thread = std::thread([this] { Run(); });
+}
+
+void
+ConfigWatcher::Stop()
+{
+  m_isStopping = true;
+  if (m_thread.joinable()) {
+    m_thread.join();
+  }
+}
+
+void
+ConfigWatcher::Sleep(Duration aTime)
+{
+  constexpr Duration kStep = Milliseconds(50);
+  for (Duration slept{}; slept < aTime && !m_isStopping; slept += kStep) {
+    std::this_thread::sleep_for(kStep);
+  }
+}
+
+void
+ConfigWatcher::Run()
+{
+  bool hasSeeds = false;
+  bool isWritten = false;
+  int looksSkipped = 0;
+  while (!m_isStopping) {
+    hasSeeds = hasSeeds || ReadSeeds();
+    isWritten = isWritten || WriteOwnSeed();
+    bool mayLook = m_orders.m_isWatching || ++looksSkipped >= kIdleLooks;
+    if (!mayLook) {
+      Sleep(kRetryPause);
+      continue;
+    }
+    looksSkipped = 0;
+    if (!ReadConfig()) {
+      Sleep(kRetryPause);
+    }
+  }
+}
+
+bool
+ConfigWatcher::ReadSeeds()
+{
+  Result<std::vector<std::string>> keys = m_platform.List(kSeedPrefix);
+  if (!keys) {
+    LogFailure(keys.error());
+    return false;
+  }
+  std::vector<std::string> seeds;
+  for (const std::string& key : *keys) {
+    Result<FoundObject> found = m_platform.Get(key);
+    if (!found) {
+      LogFailure(found.error());
+      return false;
+    }
+    if (*found) {
+      std::vector<std::string> more = ParseSeeds((*found)->m_value);
+      seeds.insert(seeds.end(), more.begin(), more.end());
+    }
+  }
+  m_callbacks.m_onSeeds(std::move(seeds));
+  return true;
+}
+
+bool
+ConfigWatcher::WriteOwnSeed()
+{
+  std::string key = kSeedPrefix + m_domain;
+  Result<FoundObject> found = m_platform.Get(key);
+  if (!found) {
+    LogFailure(found.error());
+    return false;
+  }
+  uint64_t version = *found ? (*found)->m_version : 0;
+  std::vector<std::string> seeds;
+  if (*found) {
+    seeds = ParseSeeds((*found)->m_value);
+  }
+  if (std::find(seeds.begin(), seeds.end(), m_ownAddress) != seeds.end()) {
+    return true;
+  }
+  // The newest addresses stand first; those of replaced VMs fall off the end.
+  seeds.insert(seeds.begin(), m_ownAddress);
+  seeds.resize(std::min(seeds.size(), kSeedsPerDomain));
+  Result<PutEnd> put =
+    m_platform.Put(key, nlohmann::json(seeds).dump(), version);
+  if (!put) {
+    LogFailure(put.error());
+  }
+  // After a conflict or a lost answer the next round reads what is there.
+  return false;
+}
+
+bool
+ConfigWatcher::ReadConfig()
+{
+  Result<FoundObject> found =
+    m_platform.Watch(kConfigHeadKey, m_seenHead, kWatchWait);
+  if (!found) {
+    LogFailure(found.error());
+    return false;
+  }
+  if (!*found) {
+    return true;
+  }
+  Result<ConfigHead> head = ReadHead((*found)->m_value);
+  if (!head) {
+    LogFailure(head.error());
+    return false;
+  }
+  uint64_t have = m_orders.m_haveVersion;
+  if (head->m_version > have) {
+    Result<ConfigDelta> delta = FetchDelta(m_platform, *head, have);
+    if (!delta) {
+      LogFailure(delta.error());
+      return false;
+    }
+    m_callbacks.m_onDelta(std::move(*delta));
+  }
+  // Only a later head is remembered: an older one comes from a stale read.
+  m_seenHead = std::max(m_seenHead, (*found)->m_version);
+  return true;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/AgentCore.h
@@ -0,0 +1,249 @@
+#pragma once
+
+#include "AdmissionQueue.h"
+#include "Journal.h"
+#include "ReasonCounters.h"
+#include "RequestLedger.h"
+
+#include <set>
+#include <unordered_map>
+
+namespace bilberryfield {
+
+/** A request that arrived on a link; the link names the way back. */
+struct ForwardArrived
+{
+  uint64_t m_link = 0;
+  Forward m_forward;
+};
+
+/** A balancer no longer waits for a stream of its link. */
+struct CancelArrived
+{
+  uint64_t m_link = 0;
+  Cancel m_cancel;
+};
+
+/** A link from a balancer was lost. */
+struct BalancerLinkLost
+{
+  uint64_t m_link = 0;
+};
+
+/** How work at the backend server ended. */
+enum class WorkEnd : uint8_t
+{
+  Answered,
+  NotSent, /**< No byte of the request reached the server. */
+  Lost,    /**< The server may have run it. */
+};
+
+/** Work that a StartWork action began has ended. */
+struct WorkEnded
+{
+  uint64_t m_work = 0;
+  WorkEnd m_end = WorkEnd::Lost;
+  HttpAnswer m_answer;
+};
+
+/** The operator or a shutdown asks this agent to drain, or to stop draining. */
+struct DrainChanged
+{
+  bool m_isDraining = true;
+};
+
+/** A new configuration is in force at this agent. */
+struct AgentConfigChanged
+{
+  ConfigPointer m_config;
+};
+
+/** The time of an AgentWakeAt action has come. */
+struct AgentWake
+{};
+
+using AgentEvent = std::variant<ForwardArrived,
+                                CancelArrived,
+                                BalancerLinkLost,
+                                WorkEnded,
+                                DrainChanged,
+                                AgentConfigChanged,
+                                AgentWake>;
+
+/** Send the request to the backend server. */
+struct StartWork
+{
+  uint64_t m_work = 0;
+  /** Time left until the deadline. */
+  Duration m_limit{};
+  HttpRequest m_request;
+};
+
+/** Tell the backend server that the answer has no use any more. */
+struct CancelWork
+{
+  uint64_t m_work = 0;
+};
+
+/** Send an answer on a link. */
+struct SendAnswer
+{
+  uint64_t m_link = 0;
+  Answer m_answer;
+};
+
+/** Deliver an AgentWake event at this time. */
+struct AgentWakeAt
+{
+  TimePoint m_at;
+};
+
+using AgentAction =
+  std::variant<StartWork, CancelWork, SendAnswer, AgentWakeAt>;
+
+/** Identity and limits of an agent. */
+struct AgentOptions
+{
+  std::string m_server;
+  /** IP and port of the agent's peer link. */
+  std::string m_address;
+  uint64_t m_incarnation = 1;
+  std::vector<std::string> m_labels;
+  AdmissionOptions m_admission;
+  size_t m_maxLedgerEntries = 100'000;
+  size_t m_maxKeptAnswerBytes = 16 * 1024;
+  size_t m_maxJournalPending = 50'000;
+  size_t m_maxFlows = 100'000;
+  /** Time after the start of a drain in which known flows are still served. */
+  Duration m_drainGrace = Seconds(2);
+};
+
+/**
+ * Decides at one backend server what runs, in which order, and what is
+ * truthfully said about everything that does not.
+ */
+class AgentCore
+{
+public:
+  using Options = AgentOptions;
+  using Actions = std::vector<AgentAction>;
+
+  explicit AgentCore(Options aOptions);
+
+  /** Takes one event at aNow; the actions are to be carried out in order. */
+  Actions OnEvent(TimePoint aNow, const AgentEvent& aEvent);
+
+  /** True when nothing is queued or running. */
+  bool IsIdle() const { return m_works.empty(); }
+
+  bool IsDraining() const { return m_drainSince.has_value(); }
+
+  LoadReport Load() const;
+  const RefusalCounters& Refusals() const { return m_refusals; }
+  uint64_t ServedCount() const { return m_served; }
+  size_t FlowCount() const { return m_flows.size(); }
+  size_t LedgerSize() const { return m_ledger.Size(); }
+  Journal& Records() { return m_journal; }
+
+private:
+  struct Flow
+  {
+    std::string m_service;
+    std::string m_flowKey;
+    TimePoint m_lastSeen;
+    /** Requests of this flow that are queued or running. */
+    uint32_t m_active = 0;
+    /** A refusal could not be recorded: no new non-repeatable request runs. */
+    bool m_isClosedForOnce = false;
+    /** Another agent moved the flow here. */
+    bool m_isAdopted = false;
+    /** New home after a drain; empty server while the flow is here. */
+    Binding m_movedTo;
+  };
+
+  struct Waiter
+  {
+    uint64_t m_link = 0;
+    uint64_t m_stream = 0;
+  };
+
+  /** A request that is queued or running. */
+  struct Work
+  {
+    uint64_t m_flow = 0;
+    Forward m_forward;
+    ClassKey m_class;
+    TimePoint m_deadline;
+    std::vector<Waiter> m_waiters;
+    bool m_isRunning = false;
+    TimePoint m_startedAt;
+  };
+
+  using FlowName = std::pair<std::string, std::string>;
+
+  void Handle(const ForwardArrived& aArrived);
+  void Handle(const CancelArrived& aArrived);
+  void Handle(const BalancerLinkLost& aLost);
+  void Handle(const WorkEnded& aEnded);
+  void Handle(const DrainChanged& aChanged);
+  void Handle(const AgentConfigChanged& aChanged);
+  void Handle(const AgentWake& aWake);
+
+  const ServiceConfig* ServedService(const std::string& aName) const;
+  std::optional<uint64_t> ResolveFlow(const ForwardArrived& aArrived);
+  std::optional<uint64_t> ResolveBound(const ForwardArrived& aArrived);
+  std::optional<uint64_t> ResolveUnbound(const ForwardArrived& aArrived);
+  uint64_t DerivedFlowId(uint64_t aNumber) const;
+  void OpenFlow(const Forward& aForward, uint64_t aFlowId);
+  bool RepeatIfKnown(const ForwardArrived& aArrived, uint64_t aFlowId);
+  void JoinWork(const ForwardArrived& aArrived, uint64_t aWorkId);
+  bool MoveIfDraining(const ForwardArrived& aArrived, uint64_t aFlowId);
+  void Queue(const ForwardArrived& aArrived,
+             uint64_t aFlowId,
+             const TrafficClass& aClass);
+  bool RememberRefusal(const Forward& aForward, uint64_t aFlowId);
+  void RefuseNew(const ForwardArrived& aArrived,
+                 uint64_t aFlowId,
+                 AdmissionRefusal aRefusal);
+  void RefuseQueued(uint64_t aWorkId, RefusalReason aReason);
+  void StartWaiting();
+  void DropWaiter(uint64_t aWorkId, const Waiter& aWaiter);
+  void EndWork(uint64_t aWorkId, const Answer& aAnswer);
+  void EndIdleFlows();
+  void WakeForQueue();
+  Binding HomeOf(uint64_t aFlowId) const;
+  void Reply(const Waiter& aWaiter, Answer aAnswer);
+  void ReplyRefusal(const ForwardArrived& aArrived,
+                    Outcome aOutcome,
+                    RefusalReason aReason,
+                    uint64_t aFlowId = 0,
+                    Duration aRetryAfter = Duration{});
+  void Note(JournalEvent aEvent,
+            uint64_t aItem,
+            const Work& aWork,
+            Outcome aOutcome = Outcome::NotRun,
+            RefusalReason aReason = RefusalReason::None);
+
+  Options m_options;
+  ConfigPointer m_config;
+  AdmissionQueue m_queue;
+  RequestLedger m_ledger;
+  Journal m_journal;
+  RefusalCounters m_refusals;
+  uint64_t m_served = 0;
+  std::unordered_map<uint64_t, Flow> m_flows;
+  std::map<FlowName, uint64_t> m_flowByName;
+  std::unordered_map<uint64_t, Work> m_works;
+  std::unordered_map<RequestKey, uint64_t, RequestKeyHash> m_workByRequest;
+  std::map<std::pair<uint64_t, uint64_t>, uint64_t> m_workByStream;
+  /** Adopted flows that ended; a late move must not start them again. */
+  std::set<uint64_t> m_endedAdopted;
+  std::optional<TimePoint> m_drainSince;
+  uint64_t m_nextWork = 1;
+  uint64_t m_nextFlow = 1;
+  TimePoint m_nextSweep;
+  TimePoint m_now;
+  Actions m_actions;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Announcer.cpp
@@ -0,0 +1,65 @@
+#include "Announcer.h"
+
+namespace bilberryfield {
+
+Announcer::Announcer(Options aOptions, MemberRecord aSelf)
+  : m_options(aOptions)
+  , m_self(std::move(aSelf))
+{
+}
+
+void
+Announcer::SetState(MemberState aState)
+{
+  m_self.m_state = aState;
+  m_self.m_revision += 1;
+  m_nextHeartbeat = TimePoint{};
+}
+
+AnnounceStep
+Announcer::OnTick(TimePoint aNow, uint64_t aConfigVersion)
+{
+  AnnounceStep step;
+  if (aNow < m_nextHeartbeat) {
+    return step;
+  }
+  m_nextHeartbeat = aNow + m_options.m_heartbeatEvery;
+  Heartbeat heartbeat{ m_self, aConfigVersion };
+  for (const std::string& monitor : m_monitors) {
+    step.m_sends.push_back({ monitor, heartbeat });
+  }
+  bool isLost = !m_lastReply || aNow - *m_lastReply > m_options.m_lostAfter;
+  if (m_monitors.empty() || isLost) {
+    step.m_throughFabric = heartbeat;
+  }
+  return step;
+}
+
+void
+Announcer::OnReply(TimePoint aNow, const HeartbeatReply& aReply)
+{
+  m_lastReply = aNow;
+  if (!aReply.m_monitors.empty()) {
+    m_monitors = aReply.m_monitors;
+  }
+  const MemberRecord& known = aReply.m_known;
+  if (known.m_id != m_self.m_id) {
+    return;
+  }
+  // A record of this name with a later incarnation can only be left over from
+  // a start whose clock ran ahead; this start has to outlive it.
+  if (known.m_incarnation > m_self.m_incarnation) {
+    m_self.m_incarnation = known.m_incarnation + 1;
+    m_nextHeartbeat = TimePoint{};
+    return;
+  }
+  bool isRefuted = known.m_incarnation < m_self.m_incarnation ||
+                   known.m_revision < m_self.m_revision;
+  bool isAccused = !known.m_accusers.empty() || known.m_state != m_self.m_state;
+  if (!isRefuted && isAccused) {
+    m_self.m_revision = known.m_revision + 1;
+    m_nextHeartbeat = TimePoint{};
+  }
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/BalancerCore.cpp
@@ -0,0 +1,532 @@
+#include "BalancerCore.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kCandidates = 2;
+
+ServerRef
+RefOf(const Binding& aBinding)
+{
+  return { aBinding.m_server, aBinding.m_address, aBinding.m_incarnation, 1 };
+}
+
+Binding
+BindingOf(const ServerRef& aServer)
+{
+  return { aServer.m_id, aServer.m_address, aServer.m_incarnation, 0 };
+}
+
+bool
+Contains(const ServerList& aServers, const std::string& aId)
+{
+  return std::any_of(
+    aServers.begin(), aServers.end(), [&](const ServerRef& aServer) {
+      return aServer.m_id == aId;
+    });
+}
+
+void
+AppendNew(ServerList& aServers, const ServerList& aMore)
+{
+  for (const ServerRef& server : aMore) {
+    if (!Contains(aServers, server.m_id)) {
+      aServers.push_back(server);
+    }
+  }
+}
+
+} // namespace
+
+BalancerCore::BalancerCore(Options aOptions, uint64_t aSeed)
+  : m_options(aOptions)
+  , m_random(aSeed)
+  , m_nextStream(m_random())
+  , m_config(std::make_shared<ConfigSnapshot>())
+  , m_budget(aOptions.m_retryRatio, aOptions.m_retryBurst)
+{
+}
+
+BalancerCore::Actions
+BalancerCore::OnEvent(TimePoint aNow, const BalancerEvent& aEvent)
+{
+  m_now = aNow;
+  m_actions.clear();
+  std::visit([this](const auto& aOne) { Handle(aOne); }, aEvent);
+  return std::move(m_actions);
+}
+
+void
+BalancerCore::Handle(const ConfigChanged& aChanged)
+{
+  m_config = aChanged.m_config;
+  m_directory.Update(*m_config, m_members);
+}
+
+void
+BalancerCore::Handle(const MembersChanged& aChanged)
+{
+  m_members = aChanged.m_members;
+  m_directory.Update(*m_config, m_members);
+}
+
+void
+BalancerCore::Handle(const StalenessChanged& aChanged)
+{
+  m_isStale = aChanged.m_isStale;
+}
+
+void
+BalancerCore::Handle(const CallerRequest& aRequest)
+{
+  BILBERRY_ASSERT(!m_pending.contains(aRequest.m_id),
+                  "caller " << aRequest.m_id << " already waits");
+  Pending& pending = m_pending[aRequest.m_id];
+  pending.m_request = aRequest;
+  pending.m_deadline = m_now;
+  if (m_config->m_version == 0 || m_isStale) {
+    pending.m_retryAfterMs =
+      m_isStale ? m_options.m_staleRetryMs : m_options.m_noServerRetryMs;
+    return Refuse(pending, Outcome::NotRun, RefusalReason::NotReady);
+  }
+  const ServiceConfig* service =
+    m_config->FindByAddress(aRequest.m_serviceAddress);
+  if (!service) {
+    return Refuse(pending, Outcome::NotRun, RefusalReason::UnknownService);
+  }
+  pending.m_service = service->m_name;
+  pending.m_class = service->m_classes[service->ClassIndex(aRequest.m_class)];
+  Duration limit = pending.m_class.m_deadline;
+  if (aRequest.m_timeoutMs > 0) {
+    limit = std::min<Duration>(limit, Milliseconds(aRequest.m_timeoutMs));
+  }
+  pending.m_deadline = m_now + limit;
+  if (pending.m_class.m_nonRepeatable && aRequest.m_requestId.empty()) {
+    return Refuse(pending, Outcome::NotRun, RefusalReason::RequestIdMissing);
+  }
+  m_deadlines.emplace(pending.m_deadline, aRequest.m_id);
+  m_actions.emplace_back(WakeAt{ pending.m_deadline });
+  m_budget.OnFirstTry();
+  if (aRequest.m_token.empty()) {
+    StartUnbound(pending);
+  } else {
+    StartBound(pending);
+  }
+}
+
+void
+BalancerCore::StartBound(Pending& aPending)
+{
+  Result<FlowToken> token =
+    OpenFlowToken(m_config->m_keys, aPending.m_request.m_token);
+  if (!token) {
+    return Refuse(aPending, Outcome::NotRun, RefusalReason::BadToken);
+  }
+  if (token->m_service != aPending.m_service) {
+    return Refuse(aPending, Outcome::NotRun, RefusalReason::WrongServiceToken);
+  }
+  // The token holds the agent's address, so that a balancer that has just
+  // started and knows no members yet can already carry established flows.
+  aPending.m_candidates =
+    OrderedCandidates(aPending.m_service, aPending.m_request.m_flowKey);
+  std::erase_if(aPending.m_candidates, [&](const ServerRef& aServer) {
+    return aServer.m_id == token->m_binding.m_server;
+  });
+  SendTry(
+    aPending,
+    Try{ 0, RefOf(token->m_binding), token->m_binding, ForwardMode::Bound });
+}
+
+void
+BalancerCore::StartUnbound(Pending& aPending)
+{
+  aPending.m_candidates =
+    OrderedCandidates(aPending.m_service, aPending.m_request.m_flowKey);
+  if (aPending.m_class.m_nonRepeatable) {
+    // Only a caller that holds a token can repeat this request and be known
+    // again, so it gets one before anything runs.
+    return TryNext(aPending, ForwardMode::Bind);
+  }
+  bool opensFlow = aPending.m_request.m_sequence == 0;
+  if (!opensFlow) {
+    const ServerList& earlier =
+      m_directory.EarlierServersOf(aPending.m_service);
+    AppendNew(
+      aPending.m_candidates,
+      RendezvousCandidates(aPending.m_request.m_flowKey, earlier, kCandidates));
+  }
+  TryNext(aPending, opensFlow ? ForwardMode::Open : ForwardMode::IfOwner);
+}
+
+double
+BalancerCore::LoadOf(const ServerRef& aServer) const
+{
+  auto found = m_views.find(aServer.m_address);
+  if (found == m_views.end()) {
+    return 0.0;
+  }
+  const ServerView& view = found->second;
+  double load = view.m_waiting;
+  if (m_now - view.m_loadAt < m_options.m_loadFreshFor) {
+    double reported = view.m_load.m_running + view.m_load.m_queued;
+    load = std::max(load, reported);
+  }
+  return load / std::max<uint32_t>(1, aServer.m_slots);
+}
+
+ServerList
+BalancerCore::OrderedCandidates(const std::string& aService,
+                                const std::string& aFlowKey) const
+{
+  const ServerList& servers = m_directory.ServersOf(aService);
+  // Any balancer finds the same two candidates for a flow, so that a packet
+  // that comes before its token finds the flow at one of them. The others
+  // only follow when both refuse.
+  ServerList candidates =
+    RendezvousCandidates(aFlowKey, servers, servers.size());
+  auto firstOthers =
+    candidates.begin() +
+    static_cast<ptrdiff_t>(std::min(kCandidates, candidates.size()));
+  std::stable_sort(candidates.begin(),
+                   firstOthers,
+                   [&](const ServerRef& aLeft, const ServerRef& aRight) {
+                     return LoadOf(aLeft) < LoadOf(aRight);
+                   });
+  std::stable_partition(
+    candidates.begin(), candidates.end(), [&](const ServerRef& aServer) {
+      auto view = m_views.find(aServer.m_address);
+      return view == m_views.end() || view->second.m_avoidUntil <= m_now;
+    });
+  return candidates;
+}
+
+ServerList
+BalancerCore::Explain(const std::string& aService,
+                      const std::string& aFlowKey) const
+{
+  return OrderedCandidates(aService, aFlowKey);
+}
+
+void
+BalancerCore::TryNext(Pending& aPending, ForwardMode aMode)
+{
+  bool isSpent = aPending.m_tries >= m_options.m_maxTries;
+  if (aPending.m_candidates.empty() || isSpent) {
+    return GiveUp(aPending);
+  }
+  ServerRef server = aPending.m_candidates.front();
+  aPending.m_candidates.erase(aPending.m_candidates.begin());
+  SendTry(aPending, Try{ 0, server, BindingOf(server), aMode });
+}
+
+void
+BalancerCore::SendTry(Pending& aPending, Try aTry)
+{
+  aTry.m_stream = m_nextStream++;
+  aPending.m_try = aTry;
+  aPending.m_tries += 1;
+  m_callerByStream[aTry.m_stream] = aPending.m_request.m_id;
+  m_streamsByLink[{ aTry.m_server.m_address, aPending.m_class.m_work }].insert(
+    aTry.m_stream);
+  m_views[aTry.m_server.m_address].m_waiting += 1;
+
+  Forward forward;
+  forward.m_stream = aTry.m_stream;
+  forward.m_service = aPending.m_service;
+  forward.m_serviceAddress = aPending.m_request.m_serviceAddress;
+  forward.m_flowKey = aPending.m_request.m_flowKey;
+  forward.m_mode = aTry.m_mode;
+  forward.m_binding = aTry.m_binding;
+  if (!aPending.m_candidates.empty()) {
+    forward.m_alternative = BindingOf(aPending.m_candidates.front());
+  }
+  forward.m_class = aPending.m_class.m_name;
+  forward.m_nonRepeatable = aPending.m_class.m_nonRepeatable;
+  forward.m_requestId = aPending.m_request.m_requestId;
+  forward.m_attempt = aPending.m_request.m_attempt;
+  forward.m_remainingMs = ToMilliseconds(aPending.m_deadline - m_now);
+  if (aTry.m_mode != ForwardMode::Bind) {
+    forward.m_request = aPending.m_request.m_request;
+  }
+  m_actions.emplace_back(SendForward{
+    aTry.m_server.m_address, aPending.m_class.m_work, std::move(forward) });
+}
+
+void
+BalancerCore::EndTry(Pending& aPending)
+{
+  const Try& ended = aPending.m_try;
+  if (m_callerByStream.erase(ended.m_stream) == 0) {
+    return;
+  }
+  auto streams =
+    m_streamsByLink.find({ ended.m_server.m_address, aPending.m_class.m_work });
+  streams->second.erase(ended.m_stream);
+  if (streams->second.empty()) {
+    m_streamsByLink.erase(streams);
+  }
+  m_views[ended.m_server.m_address].m_waiting -= 1;
+}
+
+BalancerCore::Pending*
+BalancerCore::FindByStream(uint64_t aStream)
+{
+  auto caller = m_callerByStream.find(aStream);
+  if (caller == m_callerByStream.end()) {
+    return nullptr;
+  }
+  return &m_pending.at(caller->second);
+}
+
+void
+BalancerCore::Handle(const AgentAnswer& aAnswer)
+{
+  const Answer& answer = aAnswer.m_answer;
+  ServerView& view = m_views[aAnswer.m_address];
+  view.m_load = answer.m_load;
+  view.m_loadAt = m_now;
+  // An answer to a stream that nobody waits for is late; an answer from
+  // another address than the stream went to is not this stream's answer.
+  Pending* pending = FindByStream(answer.m_stream);
+  if (!pending || pending->m_try.m_server.m_address != aAnswer.m_address) {
+    return;
+  }
+  EndTry(*pending);
+  if (answer.m_outcome == Outcome::Served) {
+    CallerAnswer final;
+    final.m_outcome = Outcome::Served;
+    final.m_answer = answer.m_answer;
+    final.m_token = TokenFor(*pending, answer.m_binding);
+    final.m_server = pending->m_try.m_server.m_id;
+    return Finish(*pending, std::move(final));
+  }
+  pending->m_retryAfterMs = answer.m_retryAfterMs;
+  OnRefused(*pending, answer);
+}
+
+void
+BalancerCore::OnRefused(Pending& aPending, const Answer& aAnswer)
+{
+  if (aAnswer.m_outcome != Outcome::NotRun) {
+    return Refuse(aPending, aAnswer.m_outcome, aAnswer.m_reason);
+  }
+  aPending.m_lastReason = aAnswer.m_reason;
+  bool isBound = aPending.m_try.m_mode == ForwardMode::Bound ||
+                 aPending.m_try.m_mode == ForwardMode::Adopt;
+  switch (aAnswer.m_reason) {
+    case RefusalReason::BindFirst: {
+      CallerAnswer final;
+      final.m_outcome = Outcome::NotRun;
+      final.m_reason = RefusalReason::BindFirst;
+      final.m_token = TokenFor(aPending, aAnswer.m_binding);
+      final.m_server = aPending.m_try.m_server.m_id;
+      return Finish(aPending, std::move(final));
+    }
+    case RefusalReason::FlowMoved:
+      return OnMoved(aPending, aAnswer);
+    case RefusalReason::NotOwner:
+    case RefusalReason::NotReady:
+      return RetryElsewhere(aPending, RetryReason::NotOwner);
+    case RefusalReason::Draining:
+      if (isBound && aPending.m_class.m_nonRepeatable) {
+        return Refuse(aPending, Outcome::NotRun, aAnswer.m_reason);
+      }
+      return RetryElsewhere(aPending, RetryReason::Draining);
+    case RefusalReason::EarlierIncarnation:
+    case RefusalReason::FlowExpired:
+      return RetryElsewhere(aPending, RetryReason::EarlierIncarnation);
+    case RefusalReason::QueueFull:
+    case RefusalReason::WaitTooLong:
+    case RefusalReason::ServerUnreachable:
+      if (!isBound) {
+        return RetryElsewhere(aPending, RetryReason::Overloaded);
+      }
+      return Refuse(aPending, Outcome::NotRun, aAnswer.m_reason);
+    default:
+      return Refuse(aPending, Outcome::NotRun, aAnswer.m_reason);
+  }
+}
+
+void
+BalancerCore::OnMoved(Pending& aPending, const Answer& aAnswer)
+{
+  // The draining agent has recorded this new home, so that every balancer is
+  // sent to the same one and a repeat cannot run at two servers.
+  m_retries.Add(RetryReason::Draining);
+  if (aPending.m_tries >= m_options.m_maxTries) {
+    return GiveUp(aPending);
+  }
+  std::erase_if(aPending.m_candidates, [&](const ServerRef& aServer) {
+    return aServer.m_id == aAnswer.m_binding.m_server;
+  });
+  SendTry(
+    aPending,
+    Try{ 0, RefOf(aAnswer.m_binding), aAnswer.m_binding, ForwardMode::Adopt });
+}
+
+void
+BalancerCore::RetryElsewhere(Pending& aPending, RetryReason aReason)
+{
+  if (aPending.m_class.m_nonRepeatable &&
+      aPending.m_try.m_mode != ForwardMode::Bind) {
+    // This attempt did not run, but an earlier copy of it may have.
+    return Refuse(aPending, Outcome::Unknown, aPending.m_lastReason);
+  }
+  // A try that cost a server its work is paid for out of the retry budget;
+  // one that was turned away without work is not.
+  bool putLoad =
+    aReason == RetryReason::Overloaded || aReason == RetryReason::LinkLost;
+  if (putLoad && !m_budget.TryTake()) {
+    return GiveUp(aPending);
+  }
+  m_retries.Add(aReason);
+  ForwardMode mode = ForwardMode::Open;
+  if (aPending.m_try.m_mode == ForwardMode::Bind) {
+    mode = ForwardMode::Bind;
+  } else if (aPending.m_try.m_mode == ForwardMode::IfOwner &&
+             !aPending.m_candidates.empty()) {
+    mode = ForwardMode::IfOwner;
+  }
+  bool wasSearch =
+    mode == ForwardMode::Open && aPending.m_try.m_mode == ForwardMode::IfOwner;
+  if (wasSearch || aReason == RetryReason::EarlierIncarnation) {
+    // Nobody owns the flow any more: its first message was lost, or its
+    // server went. Every server may take it, one that restarted included.
+    aPending.m_candidates =
+      OrderedCandidates(aPending.m_service, aPending.m_request.m_flowKey);
+  }
+  TryNext(aPending, mode);
+}
+
+void
+BalancerCore::Handle(const ForwardNotSent& aNotSent)
+{
+  Pending* pending = FindByStream(aNotSent.m_stream);
+  if (!pending) {
+    return;
+  }
+  m_views[pending->m_try.m_server.m_address].m_avoidUntil =
+    m_now + m_options.m_avoidFor;
+  EndTry(*pending);
+  OnLost(*pending, RetryReason::NotSent);
+}
+
+void
+BalancerCore::Handle(const AgentLinkLost& aLost)
+{
+  auto found = m_streamsByLink.find({ aLost.m_address, aLost.m_work });
+  if (found == m_streamsByLink.end()) {
+    return;
+  }
+  m_views[aLost.m_address].m_avoidUntil = m_now + m_options.m_avoidFor;
+  std::set<uint64_t> lost = found->second;
+  for (uint64_t stream : lost) {
+    if (Pending* pending = FindByStream(stream)) {
+      EndTry(*pending);
+      pending->m_mayHaveRun |= pending->m_try.m_mode != ForwardMode::Bind;
+      OnLost(*pending, RetryReason::LinkLost);
+    }
+  }
+}
+
+void
+BalancerCore::OnLost(Pending& aPending, RetryReason aReason)
+{
+  aPending.m_lastReason = aReason == RetryReason::NotSent
+                            ? RefusalReason::ServerUnreachable
+                            : RefusalReason::LinkLost;
+  RetryElsewhere(aPending, aReason);
+}
+
+void
+BalancerCore::GiveUp(Pending& aPending)
+{
+  RefusalReason reason = aPending.m_lastReason;
+  if (reason == RefusalReason::None || reason == RefusalReason::NotOwner) {
+    reason = RefusalReason::NoServer;
+  }
+  if (aPending.m_retryAfterMs == 0) {
+    aPending.m_retryAfterMs = m_options.m_noServerRetryMs;
+  }
+  Refuse(aPending, Outcome::NotRun, reason);
+}
+
+void
+BalancerCore::Handle(const CallerGone& aGone)
+{
+  auto found = m_pending.find(aGone.m_id);
+  if (found == m_pending.end()) {
+    return;
+  }
+  bool isWaiting = m_callerByStream.contains(found->second.m_try.m_stream);
+  Refuse(found->second,
+         isWaiting ? Outcome::Unknown : Outcome::NotRun,
+         RefusalReason::CallerGone);
+}
+
+void
+BalancerCore::Handle(const Wake& /*aWake*/)
+{
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
+    uint64_t id = m_deadlines.begin()->second;
+    m_deadlines.erase(m_deadlines.begin());
+    auto found = m_pending.find(id);
+    if (found != m_pending.end()) {
+      Refuse(found->second, Outcome::Unknown, RefusalReason::DeadlinePassed);
+    }
+  }
+}
+
+int64_t
+BalancerCore::Jittered(int64_t aRetryAfterMs)
+{
+  // Callers refused together must not come back together.
+  std::uniform_int_distribution<int64_t> extra(0, aRetryAfterMs / 2);
+  return aRetryAfterMs + extra(m_random);
+}
+
+void
+BalancerCore::Refuse(Pending& aPending, Outcome aOutcome, RefusalReason aReason)
+{
+  CallerAnswer answer;
+  // "Not run" must hold for every try of this request, also for the ones
+  // that were lost before the last.
+  bool isUncertain = aOutcome == Outcome::NotRun && aPending.m_mayHaveRun;
+  answer.m_outcome = isUncertain ? Outcome::Unknown : aOutcome;
+  answer.m_reason = aReason;
+  answer.m_retryAfterMs = Jittered(aPending.m_retryAfterMs);
+  answer.m_server = aPending.m_try.m_server.m_id;
+  m_refusals.Add(aReason);
+  Finish(aPending, std::move(answer));
+}
+
+void
+BalancerCore::Finish(Pending& aPending, CallerAnswer aAnswer)
+{
+  uint64_t id = aPending.m_request.m_id;
+  uint64_t stream = aPending.m_try.m_stream;
+  if (m_callerByStream.contains(stream)) {
+    m_actions.emplace_back(SendCancel{ aPending.m_try.m_server.m_address,
+                                       aPending.m_class.m_work,
+                                       Cancel{ stream } });
+    EndTry(aPending);
+  }
+  m_deadlines.erase({ aPending.m_deadline, id });
+  m_actions.emplace_back(AnswerCaller{
+    id, aPending.m_service, aPending.m_class.m_name, std::move(aAnswer) });
+  m_pending.erase(id);
+}
+
+std::string
+BalancerCore::TokenFor(const Pending& aPending, const Binding& aBinding) const
+{
+  if (aBinding.m_server.empty() || m_config->m_keys.empty()) {
+    return {};
+  }
+  return SealFlowToken(m_config->m_keys, { aPending.m_service, aBinding });
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Journal.cpp
@@ -0,0 +1,99 @@
+#include "Journal.h"
+
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kChainBytes = 16;
+
+std::string
+ChainHash(const std::string& aBefore, const JournalRecord& aRecord)
+{
+  std::string text =
+    nlohmann::json::array({ aBefore,
+                            aRecord.m_sequence,
+                            aRecord.m_atUs,
+                            aRecord.m_event,
+                            aRecord.m_item,
+                            aRecord.m_service,
+                            aRecord.m_class,
+                            aRecord.m_flow,
+                            aRecord.m_requestId,
+                            aRecord.m_outcome,
+                            aRecord.m_reason })
+      .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  std::array<unsigned char, kChainBytes> hash{};
+  crypto_generichash(hash.data(),
+                     hash.size(),
+                     reinterpret_cast<const unsigned char*>(text.data()),
+                     text.size(),
+                     nullptr,
+                     0);
+  std::array<char, 2 * kChainBytes + 1> hex{};
+  return sodium_bin2hex(hex.data(), hex.size(), hash.data(), hash.size());
+}
+
+} // namespace
+
+Journal::Journal(std::string aOrigin, size_t aMaxPending)
+  : m_origin(std::move(aOrigin))
+  , m_maxPending(aMaxPending)
+  , m_lastChain(m_origin)
+{
+}
+
+void
+Journal::Append(JournalRecord aRecord)
+{
+  aRecord.m_sequence = m_nextSequence++;
+  aRecord.m_chain = ChainHash(m_lastChain, aRecord);
+  m_lastChain = aRecord.m_chain;
+  m_pending.push_back(std::move(aRecord));
+  if (m_pending.size() > m_maxPending) {
+    // The gap in the sequence numbers shows in every later audit.
+    m_pending.pop_front();
+    ++m_lost;
+  }
+}
+
+std::vector<JournalRecord>
+Journal::PendingBatch(size_t aCount) const
+{
+  size_t count = std::min(aCount, m_pending.size());
+  return { m_pending.begin(),
+           m_pending.begin() + static_cast<ptrdiff_t>(count) };
+}
+
+void
+Journal::OnStored(uint64_t aSequence)
+{
+  while (!m_pending.empty() && m_pending.front().m_sequence <= aSequence) {
+    m_pending.pop_front();
+  }
+}
+
+std::optional<JournalFault>
+VerifyJournal(const std::string& aOrigin,
+              const std::vector<JournalRecord>& aRecords)
+{
+  std::string before = aOrigin;
+  uint64_t expected = 1;
+  for (const JournalRecord& record : aRecords) {
+    if (record.m_sequence != expected) {
+      return JournalFault{ expected,
+                           "record missing, the next one is " +
+                             std::to_string(record.m_sequence) };
+    }
+    if (record.m_chain != ChainHash(before, record)) {
+      return JournalFault{ expected, "record altered" };
+    }
+    before = record.m_chain;
+    ++expected;
+  }
+  return std::nullopt;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Member.cpp
@@ -0,0 +1,60 @@
+#include "Member.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace bilberryfield {
+
+bool
+IsPresent(const MemberRecord& aRecord)
+{
+  return aRecord.m_state == MemberState::Alive ||
+         aRecord.m_state == MemberState::Draining;
+}
+
+bool
+HasLabels(const MemberRecord& aRecord, const std::vector<std::string>& aLabels)
+{
+  return std::all_of(
+    aLabels.begin(), aLabels.end(), [&](const std::string& aLabel) {
+      return std::find(aRecord.m_labels.begin(),
+                       aRecord.m_labels.end(),
+                       aLabel) != aRecord.m_labels.end();
+    });
+}
+
+MemberRecord
+Merge(const MemberRecord& aLeft, const MemberRecord& aRight)
+{
+  auto leftAge = std::tie(aLeft.m_incarnation, aLeft.m_revision);
+  auto rightAge = std::tie(aRight.m_incarnation, aRight.m_revision);
+  if (leftAge != rightAge) {
+    return leftAge < rightAge ? aRight : aLeft;
+  }
+  MemberRecord merged = aLeft;
+  merged.m_state = std::max(aLeft.m_state, aRight.m_state);
+  merged.m_accusers.clear();
+  std::set_union(aLeft.m_accusers.begin(),
+                 aLeft.m_accusers.end(),
+                 aRight.m_accusers.begin(),
+                 aRight.m_accusers.end(),
+                 std::back_inserter(merged.m_accusers));
+  return merged;
+}
+
+uint64_t
+Fingerprint(const MemberRecord& aRecord)
+{
+  uint64_t hash = StableHash(aRecord.m_id, aRecord.m_incarnation);
+  hash = StableHash(NameOf(kMemberStateNames, aRecord.m_state),
+                    hash + aRecord.m_revision);
+  for (const Accuser& accuser : aRecord.m_accusers) {
+    hash = StableHash(accuser.m_id, hash);
+  }
+  return hash;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Membership.cpp
@@ -0,0 +1,493 @@
+#include "Membership.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kMembersPerBucket = 16;
+constexpr size_t kMaxBuckets = 4096;
+constexpr double kGossipRepeats = 3.0;
+
+size_t
+BucketCountFor(size_t aMembers)
+{
+  size_t count = 1;
+  while (count * kMembersPerBucket < aMembers && count < kMaxBuckets) {
+    count *= 2;
+  }
+  return count;
+}
+
+uint32_t
+BucketOf(const std::string& aId, size_t aCount)
+{
+  return static_cast<uint32_t>(StableHash(aId) % aCount);
+}
+
+} // namespace
+
+Membership::Membership(Options aOptions, MemberRecord aSelf, uint64_t aSeed)
+  : m_options(aOptions)
+  , m_self(std::move(aSelf))
+  , m_random(aSeed)
+  , m_pause(aOptions.m_pauseLimit)
+{
+  Learn(TimePoint{}, m_self);
+}
+
+void
+Membership::AddSeeds(const std::vector<std::string>& aAddresses)
+{
+  for (const std::string& address : aAddresses) {
+    bool isNew =
+      std::find(m_seeds.begin(), m_seeds.end(), address) == m_seeds.end();
+    if (isNew && address != m_self.m_address) {
+      m_seeds.push_back(address);
+    }
+  }
+}
+
+bool
+Membership::IsStale(TimePoint aNow) const
+{
+  return m_pausedAt && aNow - *m_pausedAt < m_options.m_staleLimit &&
+         !BalancerAddresses(false).empty();
+}
+
+const MonitorRing&
+Membership::Ring() const
+{
+  if (!m_isRingCurrent) {
+    m_ring = MonitorRing(Records());
+    m_isRingCurrent = true;
+  }
+  return m_ring;
+}
+
+std::vector<MemberRecord>
+Membership::Records() const
+{
+  std::vector<MemberRecord> records;
+  records.reserve(m_members.size());
+  for (const auto& [id, known] : m_members) {
+    records.push_back(known.m_record);
+  }
+  return records;
+}
+
+void
+Membership::QueueForGossip(Known& aKnown)
+{
+  // Each record is repeated a few times the logarithm of the number of
+  // members, after which nearly every balancer has it; digests reach the rest.
+  double members = static_cast<double>(m_members.size());
+  bool isQueued = aKnown.m_sendsLeft > 0;
+  aKnown.m_sendsLeft =
+    static_cast<uint32_t>(std::ceil(kGossipRepeats * std::log2(members + 1)));
+  if (!isQueued) {
+    m_gossipQueue.push_back(aKnown.m_record.m_id);
+  }
+}
+
+void
+Membership::MarkDeadIfConfirmed(MemberRecord& aRecord) const
+{
+  if (!IsPresent(aRecord) || aRecord.m_accusers.empty()) {
+    return;
+  }
+  std::set<std::string> domains;
+  for (const Accuser& accuser : aRecord.m_accusers) {
+    domains.insert(accuser.m_domain);
+  }
+  // One domain that lost its uplink would accuse everybody; where there are
+  // two domains, two have to agree.
+  size_t needed = std::min<size_t>(2, m_ring.DomainCount());
+  if (domains.size() >= std::max<size_t>(1, needed)) {
+    aRecord.m_state = MemberState::Dead;
+  }
+}
+
+bool
+Membership::Learn(TimePoint aNow, const MemberRecord& aRecord)
+{
+  auto found = m_members.find(aRecord.m_id);
+  if (found == m_members.end()) {
+    // Records of the dead outlive their members only where they are known;
+    // otherwise two balancers could hand a forgotten one back and forth.
+    if (!IsPresent(aRecord)) {
+      return false;
+    }
+    found = m_members.emplace(aRecord.m_id, Known{}).first;
+    found->second.m_record = aRecord;
+  } else {
+    MemberRecord merged = Merge(found->second.m_record, aRecord);
+    MarkDeadIfConfirmed(merged);
+    if (merged == found->second.m_record) {
+      return false;
+    }
+    found->second.m_record = std::move(merged);
+  }
+  found->second.m_changedAt = aNow;
+  QueueForGossip(found->second);
+  if (aRecord.m_role == Role::Balancer) {
+    m_isRingCurrent = false;
+  }
+  ++m_version;
+  return true;
+}
+
+void
+Membership::RefuteIfAccused(const MemberRecord& aRecord)
+{
+  bool concernsThisStart = aRecord.m_id == m_self.m_id &&
+                           aRecord.m_incarnation == m_self.m_incarnation &&
+                           aRecord.m_revision >= m_self.m_revision;
+  if (concernsThisStart &&
+      (!aRecord.m_accusers.empty() || aRecord.m_state != m_self.m_state)) {
+    m_self.m_revision = aRecord.m_revision + 1;
+  }
+}
+
+void
+Membership::SetSelfState(MemberState aState)
+{
+  m_self.m_state = aState;
+  m_self.m_revision += 1;
+  Known& known = m_members.at(m_self.m_id);
+  known.m_record = m_self;
+  QueueForGossip(known);
+  m_isRingCurrent = false;
+  ++m_version;
+}
+
+HeartbeatReply
+Membership::OnHeartbeat(TimePoint aNow,
+                        const Heartbeat& aHeartbeat,
+                        uint64_t aConfigVersion)
+{
+  const MemberRecord& record = aHeartbeat.m_record;
+  HeartbeatReply reply;
+  reply.m_configVersion = aConfigVersion;
+  Learn(aNow, record);
+  if (auto found = m_members.find(record.m_id); found != m_members.end()) {
+    reply.m_known = found->second.m_record;
+  }
+  for (const Monitor& monitor : Ring().MonitorsOf(record.m_id)) {
+    reply.m_monitors.push_back(monitor.m_address);
+    if (monitor.m_id == m_self.m_id) {
+      m_lastHeard[record.m_id] = aNow;
+    }
+  }
+  return reply;
+}
+
+void
+Membership::OnHeartbeatReply(const HeartbeatReply& aReply)
+{
+  m_selfMonitors = aReply.m_monitors;
+  RefuteIfAccused(aReply.m_known);
+  m_pausedAt.reset();
+}
+
+void
+Membership::OnGossip(TimePoint aNow, const Gossip& aGossip)
+{
+  m_pausedAt.reset();
+  for (const MemberRecord& record : aGossip.m_records) {
+    if (record.m_id == m_self.m_id) {
+      RefuteIfAccused(record);
+      Learn(aNow, m_self);
+    } else {
+      Learn(aNow, record);
+    }
+  }
+}
+
+void
+Membership::AccuseSilentMembers(TimePoint aNow)
+{
+  for (auto heard = m_lastHeard.begin(); heard != m_lastHeard.end();) {
+    auto known = m_members.find(heard->first);
+    bool isSilent = aNow - heard->second >= m_options.m_suspectAfter;
+    bool isPresent =
+      known != m_members.end() && IsPresent(known->second.m_record);
+    if (!isSilent && isPresent) {
+      ++heard;
+      continue;
+    }
+    auto monitors = Ring().MonitorsOf(heard->first);
+    bool isMine =
+      std::any_of(monitors.begin(), monitors.end(), [&](const Monitor& aOne) {
+        return aOne.m_id == m_self.m_id;
+      });
+    if (isPresent && isMine) {
+      MemberRecord accused = known->second.m_record;
+      accused.m_accusers = { { m_self.m_id, m_self.m_domain } };
+      Learn(aNow, accused);
+    }
+    heard = m_lastHeard.erase(heard);
+  }
+}
+
+void
+Membership::SweepUnreported(TimePoint aNow)
+{
+  // A member whose monitors all failed with it has nobody to miss it; its new
+  // monitors start to wait for it here.
+  for (const auto& [id, known] : m_members) {
+    if (id == m_self.m_id || !IsPresent(known.m_record) ||
+        m_lastHeard.contains(id)) {
+      continue;
+    }
+    for (const Monitor& monitor : Ring().MonitorsOf(id)) {
+      if (monitor.m_id == m_self.m_id) {
+        m_lastHeard[id] = aNow;
+      }
+    }
+  }
+}
+
+void
+Membership::ForgetOldDead(TimePoint aNow)
+{
+  std::erase_if(m_members, [&](const auto& aItem) {
+    const Known& known = aItem.second;
+    return !IsPresent(known.m_record) &&
+           aNow - known.m_changedAt > m_options.m_deadRetention;
+  });
+}
+
+void
+Membership::ForgiveAll(TimePoint aNow)
+{
+  // After a pause every member looks silent, but it was this process that
+  // did not listen; it must hear from others before it acts on what it knows.
+  for (auto& [id, heard] : m_lastHeard) {
+    heard = aNow;
+  }
+  m_pausedAt = aNow;
+  m_nextSync = aNow;
+}
+
+std::vector<std::string>
+Membership::BalancerAddresses(bool aDeadOnes) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, known] : m_members) {
+    const MemberRecord& record = known.m_record;
+    bool isDead = record.m_state == MemberState::Dead;
+    bool isWanted = aDeadOnes ? isDead : IsPresent(record);
+    if (record.m_role == Role::Balancer && id != m_self.m_id && isWanted) {
+      addresses.push_back(record.m_address);
+    }
+  }
+  return addresses;
+}
+
+std::string
+Membership::RandomOf(const std::vector<std::string>& aAddresses)
+{
+  std::uniform_int_distribution<size_t> pick(0, aAddresses.size() - 1);
+  return aAddresses[pick(m_random)];
+}
+
+std::vector<std::string>
+Membership::GossipTargets()
+{
+  std::vector<std::string> present = BalancerAddresses(false);
+  if (present.empty()) {
+    return m_seeds;
+  }
+  std::vector<std::string> targets;
+  std::sample(present.begin(),
+              present.end(),
+              std::back_inserter(targets),
+              m_options.m_fanOut,
+              m_random);
+  return targets;
+}
+
+std::vector<MemberRecord>
+Membership::TakeGossipRecords()
+{
+  std::vector<MemberRecord> records;
+  std::vector<std::string> left;
+  for (std::string& id : m_gossipQueue) {
+    auto found = m_members.find(id);
+    if (found == m_members.end()) {
+      continue;
+    }
+    Known& known = found->second;
+    if (records.size() < m_options.m_recordsPerGossip) {
+      records.push_back(known.m_record);
+      known.m_sendsLeft -= 1;
+    }
+    if (known.m_sendsLeft > 0) {
+      left.push_back(std::move(id));
+    }
+  }
+  // Records just sent go to the end, so that a burst of changes shares the
+  // budget instead of the oldest ones taking all of it.
+  size_t sent = std::min(records.size(), left.size());
+  std::rotate(
+    left.begin(), left.begin() + static_cast<ptrdiff_t>(sent), left.end());
+  m_gossipQueue = std::move(left);
+  return records;
+}
+
+std::vector<SendToPeer>
+Membership::OwnHeartbeats(uint64_t aConfigVersion) const
+{
+  std::vector<SendToPeer> sends;
+  for (const Monitor& monitor : Ring().MonitorsOf(m_self.m_id)) {
+    sends.push_back({ monitor.m_address, Heartbeat{ m_self, aConfigVersion } });
+  }
+  return sends;
+}
+
+std::vector<SendToPeer>
+Membership::OnTick(TimePoint aNow, uint64_t aConfigVersion)
+{
+  if (m_pause.OnTick(aNow)) {
+    ForgiveAll(aNow);
+  }
+  Learn(aNow, m_self);
+  AccuseSilentMembers(aNow);
+  if (aNow >= m_nextSweep) {
+    m_nextSweep = aNow + m_options.m_sweepEvery;
+    SweepUnreported(aNow);
+    ForgetOldDead(aNow);
+  }
+  std::vector<SendToPeer> sends = OwnHeartbeats(aConfigVersion);
+  std::vector<std::string> targets = GossipTargets();
+  std::vector<MemberRecord> records;
+  if (!targets.empty()) {
+    records = TakeGossipRecords();
+  }
+  for (const std::string& target : targets) {
+    sends.push_back(
+      { target, Gossip{ m_self.m_address, records, aConfigVersion } });
+  }
+  if (aNow >= m_nextSync && !targets.empty()) {
+    m_nextSync = aNow + m_options.m_syncEvery;
+    sends.push_back({ RandomOf(targets), MakeDigest() });
+    // A region that comes back still holds us for dead; it hears it from us.
+    std::vector<std::string> dead = BalancerAddresses(true);
+    if (!dead.empty()) {
+      sends.push_back({ RandomOf(dead), MakeDigest() });
+    }
+  }
+  return sends;
+}
+
+std::vector<uint32_t>
+Membership::BucketHashes(size_t aCount) const
+{
+  std::vector<uint32_t> hashes(aCount, 0);
+  for (const auto& [id, known] : m_members) {
+    if (IsPresent(known.m_record)) {
+      uint64_t hash = Fingerprint(known.m_record);
+      hashes[BucketOf(id, aCount)] ^= static_cast<uint32_t>(hash);
+    }
+  }
+  return hashes;
+}
+
+SyncDigest
+Membership::MakeDigest() const
+{
+  return { m_self.m_address, BucketHashes(BucketCountFor(m_members.size())) };
+}
+
+SyncRecords
+Membership::RecordsOf(const std::vector<uint32_t>& aBuckets,
+                      uint32_t aBucketCount) const
+{
+  SyncRecords reply{ m_self.m_address, aBucketCount, {}, {}, false };
+  std::unordered_map<uint32_t, std::vector<const MemberRecord*>> byBucket;
+  for (uint32_t bucket : aBuckets) {
+    byBucket[bucket];
+  }
+  for (const auto& [id, known] : m_members) {
+    auto found = byBucket.find(BucketOf(id, aBucketCount));
+    if (found != byBucket.end()) {
+      found->second.push_back(&known.m_record);
+    }
+  }
+  // Whole buckets only, up to the size of a page; later digests bring the
+  // rest.
+  for (uint32_t bucket : aBuckets) {
+    const auto& records = byBucket[bucket];
+    if (!reply.m_records.empty() &&
+        reply.m_records.size() + records.size() > m_options.m_recordsPerSync) {
+      break;
+    }
+    reply.m_buckets.push_back(bucket);
+    for (const MemberRecord* record : records) {
+      reply.m_records.push_back(*record);
+    }
+  }
+  return reply;
+}
+
+std::vector<SendToPeer>
+Membership::OnSyncDigest(const SyncDigest& aDigest)
+{
+  size_t count = aDigest.m_buckets.size();
+  if (count == 0 || count > kMaxBuckets) {
+    return {};
+  }
+  std::vector<uint32_t> own = BucketHashes(count);
+  std::vector<uint32_t> differing;
+  for (uint32_t bucket = 0; bucket < count; ++bucket) {
+    if (own[bucket] != aDigest.m_buckets[bucket]) {
+      differing.push_back(bucket);
+    }
+  }
+  if (differing.empty()) {
+    return {};
+  }
+  std::shuffle(differing.begin(), differing.end(), m_random);
+  SyncRecords reply = RecordsOf(differing, static_cast<uint32_t>(count));
+  reply.m_wantBack = true;
+  return { { aDigest.m_from, std::move(reply) } };
+}
+
+std::vector<SendToPeer>
+Membership::OnSyncRecords(TimePoint aNow, const SyncRecords& aRecords)
+{
+  Gossip received{ aRecords.m_from, aRecords.m_records, 0 };
+  OnGossip(aNow, received);
+  bool isValid =
+    aRecords.m_bucketCount > 0 && aRecords.m_bucketCount <= kMaxBuckets;
+  if (!aRecords.m_wantBack || !isValid) {
+    return {};
+  }
+  return { { aRecords.m_from,
+             RecordsOf(aRecords.m_buckets, aRecords.m_bucketCount) } };
+}
+
+std::vector<std::string>
+Membership::DomainAddresses(size_t aCount) const
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, known] : m_members) {
+    const MemberRecord& record = known.m_record;
+    bool isNear = record.m_role == Role::Balancer && IsPresent(record) &&
+                  record.m_domain == m_self.m_domain;
+    if (isNear) {
+      addresses.push_back(record.m_address);
+    }
+  }
+  std::sort(addresses.begin(), addresses.end());
+  addresses.resize(std::min(addresses.size(), aCount));
+  return addresses;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Membership.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "Messages.h"
+#include "MonitorRing.h"
+#include "PauseDetector.h"
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+
+namespace bilberryfield {
+
+/** Times and budgets of the membership protocol. */
+struct MembershipOptions
+{
+  Duration m_tick = Milliseconds(250);
+  /** Silence after which a monitor accuses a member. */
+  Duration m_suspectAfter = Milliseconds(3000);
+  /** A gap between ticks that counts as a pause of this process. */
+  Duration m_pauseLimit = Milliseconds(1500);
+  /** Time after a pause for which the process waits to hear from others. */
+  Duration m_staleLimit = Seconds(3);
+  /** Time between two digests to a random balancer. */
+  Duration m_syncEvery = Seconds(5);
+  /** Time between two monitors' sweeps for members that nobody reports. */
+  Duration m_sweepEvery = Seconds(2);
+  /** Time for which dead members are remembered and dead balancers tried. */
+  Duration m_deadRetention = std::chrono::hours(2);
+  /** Balancers that a gossip round goes to. */
+  size_t m_fanOut = 3;
+  /** Records in one gossip message. */
+  size_t m_recordsPerGossip = 12;
+  /** Records in one answer to a digest. */
+  size_t m_recordsPerSync = 200;
+};
+
+/** A message for another process, by its peer address. */
+struct SendToPeer
+{
+  std::string m_address;
+  PeerMessage m_message;
+};
+
+/**
+ * The balancers' view of all members: heartbeats are watched by a few
+ * monitors, changes spread by gossip, and digests repair what gossip missed.
+ */
+class Membership
+{
+public:
+  using Options = MembershipOptions;
+
+  Membership(Options aOptions, MemberRecord aSelf, uint64_t aSeed);
+
+  /** Adds peer addresses of balancers to ask when no member is known. */
+  void AddSeeds(const std::vector<std::string>& aAddresses);
+
+  /** Takes a heartbeat; the reply goes back on the same link. */
+  HeartbeatReply OnHeartbeat(TimePoint aNow,
+                             const Heartbeat& aHeartbeat,
+                             uint64_t aConfigVersion);
+
+  /** Takes a reply to this balancer's own heartbeat. */
+  void OnHeartbeatReply(const HeartbeatReply& aReply);
+
+  /** Takes the records of a gossip message. */
+  void OnGossip(TimePoint aNow, const Gossip& aGossip);
+
+  /** Compares a digest and sends the records of differing buckets. */
+  std::vector<SendToPeer> OnSyncDigest(const SyncDigest& aDigest);
+
+  /** Takes the records of a repair, and sends this side's back if asked. */
+  std::vector<SendToPeer> OnSyncRecords(TimePoint aNow,
+                                        const SyncRecords& aRecords);
+
+  /** To be called every Options::m_tick. */
+  std::vector<SendToPeer> OnTick(TimePoint aNow, uint64_t aConfigVersion);
+
+  /** States a new condition of this balancer itself. */
+  void SetSelfState(MemberState aState);
+
+  /** This balancer's own record. */
+  const MemberRecord& Self() const { return m_self; }
+
+  /** Every record known, this balancer's own included. */
+  std::vector<MemberRecord> Records() const;
+
+  /** Grows with each change to any record. */
+  uint64_t Version() const { return m_version; }
+
+  /**
+   * True while no other balancer was heard since a pause of this process,
+   * though some are known; at most Options::m_staleLimit.
+   */
+  bool IsStale(TimePoint aNow) const;
+
+  /** The current assignment of monitors. */
+  const MonitorRing& Ring() const;
+
+  /** Peer addresses of a few present balancers of this failure domain. */
+  std::vector<std::string> DomainAddresses(size_t aCount) const;
+
+private:
+  struct Known
+  {
+    MemberRecord m_record;
+    /** Gossip messages that still carry the record. */
+    uint32_t m_sendsLeft = 0;
+    TimePoint m_changedAt;
+  };
+
+  bool Learn(TimePoint aNow, const MemberRecord& aRecord);
+  void MarkDeadIfConfirmed(MemberRecord& aRecord) const;
+  void RefuteIfAccused(const MemberRecord& aRecord);
+  void QueueForGossip(Known& aKnown);
+  void AccuseSilentMembers(TimePoint aNow);
+  void SweepUnreported(TimePoint aNow);
+  void ForgetOldDead(TimePoint aNow);
+  void ForgiveAll(TimePoint aNow);
+  std::vector<std::string> GossipTargets();
+  std::vector<std::string> BalancerAddresses(bool aDeadOnes) const;
+  std::vector<MemberRecord> TakeGossipRecords();
+  std::vector<SendToPeer> OwnHeartbeats(uint64_t aConfigVersion) const;
+  SyncDigest MakeDigest() const;
+  std::vector<uint32_t> BucketHashes(size_t aCount) const;
+  SyncRecords RecordsOf(const std::vector<uint32_t>& aBuckets,
+                        uint32_t aBucketCount) const;
+  std::string RandomOf(const std::vector<std::string>& aAddresses);
+
+  Options m_options;
+  MemberRecord m_self;
+  std::mt19937_64 m_random;
+  PauseDetector m_pause;
+  std::unordered_map<std::string, Known> m_members;
+  /** Last heartbeat of each member that this balancer monitors. */
+  std::unordered_map<std::string, TimePoint> m_lastHeard;
+  /** Ids whose records wait to be gossiped. */
+  std::vector<std::string> m_gossipQueue;
+  std::vector<std::string> m_seeds;
+  std::vector<std::string> m_selfMonitors;
+  uint64_t m_version = 0;
+  /** Set from a pause until another balancer is heard. */
+  std::optional<TimePoint> m_pausedAt;
+  TimePoint m_nextSync;
+  TimePoint m_nextSweep;
+  mutable MonitorRing m_ring;
+  mutable bool m_isRingCurrent = false;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/MonitorRing.cpp
@@ -0,0 +1,86 @@
+#include "MonitorRing.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bilberryfield {
+
+namespace {
+
+bool
+IsInOneDomain(const std::vector<Monitor>& aMonitors)
+{
+  return std::all_of(
+    aMonitors.begin(), aMonitors.end(), [&](const Monitor& aMonitor) {
+      return aMonitor.m_domain == aMonitors.front().m_domain;
+    });
+}
+
+} // namespace
+
+MonitorRing::MonitorRing(const std::vector<MemberRecord>& aRecords)
+{
+  std::set<std::string> domains;
+  for (const MemberRecord& record : aRecords) {
+    if (record.m_role == Role::Balancer && IsPresent(record)) {
+      m_ring[StableHash(record.m_id)] = { record.m_id,
+                                          record.m_address,
+                                          record.m_domain };
+      domains.insert(record.m_domain);
+    }
+  }
+  m_domainCount = domains.size();
+}
+
+std::vector<Monitor>
+MonitorRing::MonitorsOf(const std::string& aMemberId) const
+{
+  std::vector<Monitor> monitors;
+  auto start = m_ring.lower_bound(StableHash(aMemberId));
+  auto place = start;
+  for (size_t seen = 0; seen < m_ring.size(); ++seen, ++place) {
+    if (place == m_ring.end()) {
+      place = m_ring.begin();
+    }
+    const Monitor& candidate = place->second;
+    if (candidate.m_id == aMemberId) {
+      continue;
+    }
+    // The last monitor must bring a second domain; a death is only believed
+    // when two domains have seen it.
+    bool mustDiffer = monitors.size() == kMonitors - 1 && m_domainCount > 1 &&
+                      IsInOneDomain(monitors);
+    if (mustDiffer && candidate.m_domain == monitors.front().m_domain) {
+      continue;
+    }
+    monitors.push_back(candidate);
+    if (monitors.size() == kMonitors) {
+      break;
+    }
+  }
+  return monitors;
+}
+
+bool
+MonitorRing::IsAmongFirstOfDomain(const std::string& aId,
+                                  const std::string& aDomain,
+                                  size_t aCount) const
+{
+  size_t seen = 0;
+  for (const auto& [hash, monitor] : m_ring) {
+    if (monitor.m_domain != aDomain) {
+      continue;
+    }
+    if (monitor.m_id == aId) {
+      return true;
+    }
+    if (++seen == aCount) {
+      return false;
+    }
+  }
+  return false;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/Outcome.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "NameTable.h"
+
+#include <cstdint>
+
+namespace bilberryfield {
+
+/** What a caller is told about its request. */
+enum class Outcome : uint8_t
+{
+  Served,    /**< The backend server answered; the answer is whole. */
+  NotRun,    /**< No backend server ran this attempt, and none will. */
+  Unknown,   /**< The request may have run; nobody can tell. */
+  RanBefore, /**< The request has run; its answer is no longer kept. */
+};
+
+inline constexpr NameTable<Outcome, 4> kOutcomeNames = { {
+  { Outcome::Served, "served" },
+  { Outcome::NotRun, "not-run" },
+  { Outcome::Unknown, "unknown" },
+  { Outcome::RanBefore, "ran-before" },
+} };
+
+/** Why a request was refused, or why its outcome is unknown. */
+enum class RefusalReason : uint8_t
+{
+  None,
+  UnknownService,
+  BadToken,
+  WrongServiceToken,
+  FlowExpired,
+  FlowUnknown,
+  BindFirst,
+  FlowMoved,
+  NoServer,
+  NotReady,
+  NotOwner,
+  Draining,
+  QueueFull,
+  WaitTooLong,
+  DeadlinePassed,
+  LedgerFull,
+  RefusedBefore,
+  EarlierIncarnation,
+  RequestIdMissing,
+  LinkLost,
+  ServerUnreachable,
+  ServerFailed,
+  BodyTooLarge,
+  CallerGone,
+  Count,
+};
+
+inline constexpr NameTable<RefusalReason, 24> kRefusalNames = { {
+  { RefusalReason::None, "none" },
+  { RefusalReason::UnknownService, "unknown-service" },
+  { RefusalReason::BadToken, "bad-token" },
+  { RefusalReason::WrongServiceToken, "wrong-service-token" },
+  { RefusalReason::FlowExpired, "flow-expired" },
+  { RefusalReason::FlowUnknown, "flow-unknown" },
+  { RefusalReason::BindFirst, "bind-first" },
+  { RefusalReason::FlowMoved, "flow-moved" },
+  { RefusalReason::NoServer, "no-server" },
+  { RefusalReason::NotReady, "not-ready" },
+  { RefusalReason::NotOwner, "not-owner" },
+  { RefusalReason::Draining, "draining" },
+  { RefusalReason::QueueFull, "queue-full" },
+  { RefusalReason::WaitTooLong, "wait-too-long" },
+  { RefusalReason::DeadlinePassed, "deadline-passed" },
+  { RefusalReason::LedgerFull, "ledger-full" },
+  { RefusalReason::RefusedBefore, "refused-before" },
+  { RefusalReason::EarlierIncarnation, "earlier-incarnation" },
+  { RefusalReason::RequestIdMissing, "request-id-missing" },
+  { RefusalReason::LinkLost, "link-lost" },
+  { RefusalReason::ServerUnreachable, "server-unreachable" },
+  { RefusalReason::ServerFailed, "server-failed" },
+  { RefusalReason::BodyTooLarge, "body-too-large" },
+  { RefusalReason::CallerGone, "caller-gone" },
+} };
+
+static_assert(kRefusalNames.size() ==
+              static_cast<size_t>(RefusalReason::Count));
+
+/** Why a balancer tried a request at another backend server. */
+enum class RetryReason : uint8_t
+{
+  NotOwner,
+  Draining,
+  Overloaded,
+  NotSent,
+  LinkLost,
+  EarlierIncarnation,
+  Count,
+};
+
+inline constexpr NameTable<RetryReason, 6> kRetryNames = { {
+  { RetryReason::NotOwner, "not-owner" },
+  { RetryReason::Draining, "draining" },
+  { RetryReason::Overloaded, "overloaded" },
+  { RetryReason::NotSent, "not-sent" },
+  { RetryReason::LinkLost, "link-lost" },
+  { RetryReason::EarlierIncarnation, "earlier-incarnation" },
+} };
+
+static_assert(kRetryNames.size() == static_cast<size_t>(RetryReason::Count));
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/decision/ReasonCounters.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Outcome.h"
+
+#include <array>
+#include <cstdint>
+
+namespace bilberryfield {
+
+/** A counter for each enumerator of an enum class that ends in Count. */
+template<typename Enum>
+class ReasonCounters
+{
+public:
+  /** Adds one to the counter of a reason. */
+  void Add(Enum aReason) { m_counts[static_cast<size_t>(aReason)] += 1; }
+
+  /** Number of times a reason was counted since the process started. */
+  uint64_t Get(Enum aReason) const
+  {
+    return m_counts[static_cast<size_t>(aReason)];
+  }
+
+private:
+  std::array<uint64_t, static_cast<size_t>(Enum::Count)> m_counts{};
+};
+
+using RefusalCounters = ReasonCounters<RefusalReason>;
+using RetryCounters = ReasonCounters<RetryReason>;
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/platform/ConfigHead.cpp
@@ -0,0 +1,116 @@
+#include "ConfigHead.h"
+
+#include "Rendezvous.h"
+
+#include <iomanip>
+
+namespace bilberryfield {
+
+namespace {
+
+using nlohmann::json;
+
+json
+RecordToJson(const PublishRecord& aRecord)
+{
+  return { { "version", aRecord.m_version },
+           { "publish_id", aRecord.m_publishId },
+           { "publisher", aRecord.m_publisher },
+           { "changed", aRecord.m_changed } };
+}
+
+PublishRecord
+RecordFromJson(const json& aJson)
+{
+  return { aJson.at("version"),
+           aJson.at("publish_id"),
+           aJson.at("publisher"),
+           aJson.at("changed").get<std::vector<std::string>>() };
+}
+
+} // namespace
+
+std::string
+WriteHead(const ConfigHead& aHead)
+{
+  json keys = json::array();
+  for (const TokenKey& key : aHead.m_keys) {
+    keys.push_back({ { "id", key.m_id }, { "secret", key.m_secret } });
+  }
+  json services = json::object();
+  for (const auto& [name, entry] : aHead.m_services) {
+    services[name] = { { "hash", entry.m_contentHash },
+                       { "address", entry.m_address },
+                       { "changed_at", entry.m_changedAt },
+                       { "removed", entry.m_removed } };
+  }
+  json history = json::array();
+  for (const PublishRecord& record : aHead.m_history) {
+    history.push_back(RecordToJson(record));
+  }
+  return json({ { "version", aHead.m_version },
+                { "keys", keys },
+                { "services", services },
+                { "history", history } })
+    .dump();
+}
+
+Result<ConfigHead>
+ReadHead(const std::string& aText)
+{
+  try {
+    json document = json::parse(aText);
+    ConfigHead head;
+    head.m_version = document.at("version");
+    for (const json& key : document.at("keys")) {
+      head.m_keys.push_back({ key.at("id"), key.at("secret") });
+    }
+    for (const auto& [name, entry] : document.at("services").items()) {
+      head.m_services[name] = { entry.at("hash"),
+                                entry.at("address"),
+                                entry.at("changed_at"),
+                                entry.at("removed") };
+    }
+    for (const json& record : document.at("history")) {
+      head.m_history.push_back(RecordFromJson(record));
+    }
+    return head;
+  } catch (const json::exception& error) {
+    return Failure(Step::CallPlatform, kConfigHeadKey, error.what());
+  }
+}
+
+std::string
+ContentKey(const std::string& aService, const std::string& aHash)
+{
+  return "config/service/" + aService + "/" + aHash;
+}
+
+std::string
+WriteContent(const ServiceConfig& aService)
+{
+  return ToJson(aService).dump();
+}
+
+Result<ServiceConfig>
+ReadContent(const std::string& aKey, const std::string& aText)
+{
+  json document = json::parse(aText, nullptr, false);
+  ServiceParse parsed = ParseServiceConfig(document);
+  if (!parsed) {
+    std::ostringstream text;
+    text << parsed.error().front();
+    return Failure(Step::CallPlatform, aKey, text.str());
+  }
+  return std::move(*parsed);
+}
+
+std::string
+ContentHash(const std::string& aText)
+{
+  std::ostringstream text;
+  text << std::hex << std::setfill('0') << std::setw(16) << StableHash(aText);
+  return text.str();
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/platform/ConfigReader.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ConfigHead.h"
+
+namespace bilberryfield {
+
+/** Fetches what a node at aHave lacks of the head's configuration. */
+template<ObjectStore Store>
+Result<ConfigDelta>
+FetchDelta(Store& aStore, const ConfigHead& aHead, uint64_t aHave)
+{
+  ConfigDelta delta{ aHave, aHead.m_version, {}, {}, aHead.m_keys, {} };
+  if (!aHead.m_history.empty()) {
+    delta.m_publishId = aHead.m_history.front().m_publishId;
+    delta.m_publisher = aHead.m_history.front().m_publisher;
+  }
+  for (const auto& [name, entry] : aHead.m_services) {
+    if (entry.m_changedAt <= aHave) {
+      continue;
+    }
+    std::string key = ContentKey(name, entry.m_contentHash);
+    Result<FoundObject> found = aStore.Get(key);
+    if (!found) {
+      return tl::unexpected(found.error());
+    }
+    if (!*found) {
+      return Failure(Step::CallPlatform, key, "the content is missing");
+    }
+    Result<ServiceConfig> service = ReadContent(key, (*found)->m_value);
+    if (!service) {
+      return tl::unexpected(service.error());
+    }
+    delta.m_entries.push_back(
+      { std::move(*service), entry.m_changedAt, entry.m_removed });
+  }
+  return delta;
+}
+
+/** Reads the head; version 0 when nothing was published yet. */
+template<ObjectStore Store>
+Result<std::pair<ConfigHead, uint64_t>>
+FetchHead(Store& aStore)
+{
+  Result<FoundObject> found = aStore.Get(kConfigHeadKey);
+  if (!found) {
+    return tl::unexpected(found.error());
+  }
+  if (!*found) {
+    return std::pair<ConfigHead, uint64_t>();
+  }
+  Result<ConfigHead> head = ReadHead((*found)->m_value);
+  if (!head) {
+    return tl::unexpected(head.error());
+  }
+  return std::pair(std::move(*head), (*found)->m_version);
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/platform/Publisher.cpp
@@ -0,0 +1,99 @@
+#include "Publisher.h"
+
+#include "FlowToken.h"
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kHistoryLength = 64;
+
+PublishResult
+Clash(const ConfigHead& aHead, std::string aDetail)
+{
+  return { PublishEnd::Clash, aHead.m_version, {}, {}, std::move(aDetail) };
+}
+
+void
+ApplyServices(ConfigHead& aNext,
+              PublishRecord& aRecord,
+              const PublishRequest& aRequest)
+{
+  for (const ServiceConfig& service : aRequest.m_services) {
+    HeadEntry& entry = aNext.m_services[service.m_name];
+    std::string hash = ContentHash(WriteContent(service));
+    if (entry.m_contentHash != hash || entry.m_removed) {
+      entry = { hash, service.m_address, aRecord.m_version, false };
+      aRecord.m_changed.push_back(service.m_name);
+    }
+  }
+}
+
+// Names of two services in force that share an address, or "".
+std::string
+FindSharedAddress(const ConfigHead& aHead)
+{
+  std::map<std::string, std::string> nameByAddress;
+  for (const auto& [name, entry] : aHead.m_services) {
+    if (entry.m_removed) {
+      continue;
+    }
+    auto [place, isNew] = nameByAddress.emplace(entry.m_address, name);
+    if (!isNew) {
+      return place->second + " and " + name + " share the address " +
+             entry.m_address;
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+const PublishRecord*
+FindPublish(const ConfigHead& aHead, const std::string& aPublishId)
+{
+  for (const PublishRecord& record : aHead.m_history) {
+    if (record.m_publishId == aPublishId) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+tl::expected<ConfigHead, PublishResult>
+PlanPublish(const ConfigHead& aHead, const PublishRequest& aRequest)
+{
+  ConfigHead next = aHead;
+  next.m_version += 1;
+  PublishRecord record{
+    next.m_version, aRequest.m_publishId, aRequest.m_publisher, {}
+  };
+  ApplyServices(next, record, aRequest);
+  for (const std::string& name : aRequest.m_withdrawn) {
+    auto found = next.m_services.find(name);
+    if (found == next.m_services.end() || found->second.m_removed) {
+      return tl::unexpected(Clash(aHead, "no service named " + name));
+    }
+    found->second.m_changedAt = next.m_version;
+    found->second.m_removed = true;
+    record.m_changed.push_back(name);
+  }
+  std::string shared = FindSharedAddress(next);
+  if (!shared.empty()) {
+    return tl::unexpected(Clash(aHead, shared));
+  }
+  if (next.m_keys.empty()) {
+    next.m_keys.push_back(MakeTokenKey(1, aRequest.m_newKeyBytes));
+  }
+  if (record.m_changed.empty()) {
+    return tl::unexpected(
+      PublishResult{ PublishEnd::Unchanged, aHead.m_version, {}, {}, {} });
+  }
+  next.m_history.insert(next.m_history.begin(), std::move(record));
+  if (next.m_history.size() > kHistoryLength) {
+    next.m_history.resize(kHistoryLength);
+  }
+  return next;
+}
+
+} // namespace bilberryfield
