Prove the promises in the decision core by properties in virtual time

A network that delays, reorders and loses between real balancer and agent cores; kills, drains, stale balancers, misused tokens and lapsed flows are steps of the generated runs.

Ruled out: testing the shells instead, which cannot reach these states without timed waits.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,12 @@
 check-format: deps
 	clang-format --dry-run --Werror $(SOURCES)
 
-lint: build
-	run-clang-tidy -quiet -p $(BUILD) '.*/(packages|standins)/.*\.cpp$$' > $(BUILD)/lint.log 2>&1 \
+# The linter gets a compile database of its own: it cannot read the compiler's
+# precompiled headers.
+lint: deps
+	cmake -S . -B $(BUILD)/lint -G Ninja -DCMAKE_CXX_COMPILER=clang++ \
+	  -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON > /dev/null
+	run-clang-tidy -quiet -p $(BUILD)/lint '.*/(packages|standins)/.*\.cpp$$' > $(BUILD)/lint.log 2>&1 \
 	  || { grep -E 'warning:|error:' $(BUILD)/lint.log | sort -u; exit 1; }
 
 clean:
--- a/packages/decision/AgentCore.h
+++ b/packages/decision/AgentCore.h
@@ -111,7 +111,7 @@
   std::vector<std::string> m_labels;
   AdmissionOptions m_admission;
   size_t m_maxLedgerEntries = 100'000;
-  size_t m_maxKeptAnswerBytes = 16 * 1024;
+  size_t m_maxKeptAnswerBytes = size_t{ 16 } * 1024;
   size_t m_maxJournalPending = 50'000;
   size_t m_maxFlows = 100'000;
   /** Time after the start of a drain in which known flows are still served. */
--- a/packages/decision/BalancerCore.cpp
+++ b/packages/decision/BalancerCore.cpp
@@ -29,6 +29,26 @@
     });
 }
 
+// True when the agent keeps refusing this attempt, so that no copy of it can
+// run later.
+bool
+IsFinalDenial(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::Draining:
+    case RefusalReason::QueueFull:
+    case RefusalReason::WaitTooLong:
+    case RefusalReason::DeadlinePassed:
+    case RefusalReason::LedgerFull:
+    case RefusalReason::RefusedBefore:
+    case RefusalReason::ServerUnreachable:
+    case RefusalReason::CallerGone:
+      return true;
+    default:
+      return false;
+  }
+}
+
 void
 AppendNew(ServerList& aServers, const ServerList& aMore)
 {
@@ -314,6 +334,7 @@
     return Refuse(aPending, aAnswer.m_outcome, aAnswer.m_reason);
   }
   aPending.m_lastReason = aAnswer.m_reason;
+  aPending.m_isDenied = IsFinalDenial(aAnswer.m_reason);
   bool isBound = aPending.m_try.m_mode == ForwardMode::Bound ||
                  aPending.m_try.m_mode == ForwardMode::Adopt;
   switch (aAnswer.m_reason) {
@@ -488,13 +509,24 @@
   return aRetryAfterMs + extra(m_random);
 }
 
+bool
+BalancerCore::IsUnprovenRepeat(const Pending& aPending) const
+{
+  // A request with a token and a request id may be a repeat of one that ran.
+  // Only the agent that the token names can deny that.
+  bool mayBeRepeat = !aPending.m_request.m_token.empty() &&
+                     !aPending.m_request.m_requestId.empty();
+  return mayBeRepeat && !aPending.m_isDenied;
+}
+
 void
 BalancerCore::Refuse(Pending& aPending, Outcome aOutcome, RefusalReason aReason)
 {
   CallerAnswer answer;
   // "Not run" must hold for every try of this request, also for the ones
   // that were lost before the last.
-  bool isUncertain = aOutcome == Outcome::NotRun && aPending.m_mayHaveRun;
+  bool isUncertain = aOutcome == Outcome::NotRun &&
+                     (aPending.m_mayHaveRun || IsUnprovenRepeat(aPending));
   answer.m_outcome = isUncertain ? Outcome::Unknown : aOutcome;
   answer.m_reason = aReason;
   answer.m_retryAfterMs = Jittered(aPending.m_retryAfterMs);
--- a/packages/decision/BalancerCore.h
+++ b/packages/decision/BalancerCore.h
@@ -207,6 +207,8 @@
     size_t m_tries = 0;
     /** An earlier try was lost without a word; it may have run. */
     bool m_mayHaveRun = false;
+    /** The agent proved that this attempt never runs. */
+    bool m_isDenied = false;
     /** Most useful refusal so far, for the final answer. */
     RefusalReason m_lastReason = RefusalReason::None;
     int64_t m_retryAfterMs = 0;
@@ -241,6 +243,7 @@
   void OnMoved(Pending& aPending, const Answer& aAnswer);
   void OnLost(Pending& aPending, RetryReason aReason);
   void GiveUp(Pending& aPending);
+  bool IsUnprovenRepeat(const Pending& aPending) const;
   void Refuse(Pending& aPending, Outcome aOutcome, RefusalReason aReason);
   void Finish(Pending& aPending, CallerAnswer aAnswer);
   void EndTry(Pending& aPending);
--- a/packages/decision/Error.h
+++ b/packages/decision/Error.h
@@ -72,6 +72,7 @@
   using std::logic_error::logic_error;
 };
 
+// NOLINTBEGIN(bugprone-macro-parentheses): the values are streamed.
 /** Throws InternalError with the streamed values when the condition fails. */
 #define BILBERRY_ASSERT(aCondition, aValues)                                   \
   do {                                                                         \
@@ -82,5 +83,6 @@
       throw ::bilberryfield::InternalError(stream.str());                      \
     }                                                                          \
   } while (false)
+// NOLINTEND(bugprone-macro-parentheses)
 
 } // namespace bilberryfield
--- a/packages/decision/Time.h
+++ b/packages/decision/Time.h
@@ -13,7 +13,9 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<DecisionClock>;
-  static constexpr bool is_steady = true;
+  // The standard library asks for this name.
+  static constexpr bool is_steady =
+    true; // NOLINT(readability-identifier-naming)
 };
 
 /** A moment of the process's own steady time, in microseconds. */
--- a/packages/peer/PeerHub.cpp
+++ b/packages/peer/PeerHub.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // The largest message; an answer's body has to fit.
-constexpr size_t kMaxMessageBytes = 64 * 1024 * 1024;
+constexpr size_t kMaxMessageBytes = size_t{ 64 } * 1024 * 1024;
 constexpr Duration kLinkTick = Milliseconds(250);
 
 using Client = websocketpp::client<websocketpp::config::asio_client>;
@@ -159,7 +159,9 @@
   }
 
   template<typename Endpoint>
-  void Write(Endpoint& aEndpoint, Handle aHandle, const std::string& aBytes)
+  void Write(Endpoint& aEndpoint,
+             const Handle& aHandle,
+             const std::string& aBytes)
   {
     websocketpp::lib::error_code error;
     aEndpoint.send(aHandle, aBytes, kBinary, error);
@@ -185,16 +187,19 @@
       return place;
     }
     connection->set_open_handler(
-      [this, aName, serial](Handle) { OnOpen(aName, serial); });
-    auto ended = [this, aName, serial](Handle) { OnEnded(aName, serial); };
+      [this, aName, serial](const Handle&) { OnOpen(aName, serial); });
+    auto ended = [this, aName, serial](const Handle&) {
+      OnEnded(aName, serial);
+    };
     connection->set_fail_handler(ended);
     connection->set_close_handler(ended);
     connection->set_pong_handler(
-      [this, aName, serial](Handle, const std::string&) {
+      [this, aName, serial](const Handle&, const std::string&) {
         OnHeard(aName, serial);
       });
     connection->set_message_handler(
-      [this, aName, serial](Handle, const Client::message_ptr& aMessage) {
+      [this, aName, serial](const Handle&,
+                            const Client::message_ptr& aMessage) {
         if (OnHeard(aName, serial)) {
           m_bytesReceived += aMessage->get_payload().size();
           m_callbacks.m_onReply(aName.first, aMessage->get_payload());
@@ -268,7 +273,7 @@
 
   void SetServerHandlers()
   {
-    m_server.set_open_handler([this](Handle aHandle) {
+    m_server.set_open_handler([this](const Handle& aHandle) {
       websocketpp::lib::error_code error;
       auto connection = m_server.get_con_from_hdl(aHandle, error);
       SetNoDelay(connection);
@@ -281,18 +286,20 @@
         }
       };
       connection->set_pong_handler(
-        [heard](Handle, const std::string&) { heard(); });
-      connection->set_ping_handler([heard](Handle, const std::string&) {
+        [heard](const Handle&, const std::string&) { heard(); });
+      connection->set_ping_handler([heard](const Handle&, const std::string&) {
         heard();
         return true;
       });
       connection->set_message_handler(
-        [this, link, heard](Handle, const Server::message_ptr& aMessage) {
+        [this, link, heard](const Handle&,
+                            const Server::message_ptr& aMessage) {
           heard();
           m_bytesReceived += aMessage->get_payload().size();
           m_callbacks.m_onMessage(link, aMessage->get_payload());
         });
-      connection->set_close_handler([this, link](Handle) { Drop(link); });
+      connection->set_close_handler(
+        [this, link](const Handle&) { Drop(link); });
     });
   }
 
--- a/packages/platform/PlatformClient.cpp
+++ b/packages/platform/PlatformClient.cpp
@@ -33,7 +33,7 @@
 {
   aCall.m_host = m_address;
   std::string what = aCall.m_method + " " + aCall.m_path;
-  HttpResult result = m_client.SendAndWait(std::move(aCall));
+  HttpResult result = m_client.SendAndWait(aCall);
   if (result.m_end != HttpEnd::Answered) {
     return Failure(Step::CallPlatform, m_address, what + ": " + result.m_body);
   }
--- a/packages/runtime/HttpClient.cpp
+++ b/packages/runtime/HttpClient.cpp
@@ -124,7 +124,7 @@
   Call(asio::io_context& aIo,
        ConnectionPool& aPool,
        size_t aMaxAnswerBytes,
-       HttpCall aCall,
+       const HttpCall& aCall,
        HttpClient::OnEnd aOnEnd)
     : m_io(aIo)
     , m_pool(aPool)
@@ -251,22 +251,22 @@
 HttpClient::~HttpClient() = default;
 
 void
-HttpClient::Send(HttpCall aCall, OnEnd aOnEnd)
+HttpClient::Send(const HttpCall& aCall, OnEnd aOnEnd)
 {
   auto call = std::make_shared<Call>(m_impl->m_io,
                                      m_impl->m_pool,
                                      m_impl->m_options.m_maxAnswerBytes,
-                                     std::move(aCall),
+                                     aCall,
                                      std::move(aOnEnd));
   asio::post(m_impl->m_io, [call] { call->Start(); });
 }
 
 HttpResult
-HttpClient::SendAndWait(HttpCall aCall)
+HttpClient::SendAndWait(const HttpCall& aCall)
 {
   std::promise<HttpResult> promise;
   std::future<HttpResult> future = promise.get_future();
-  Send(std::move(aCall), [&promise](HttpResult aResult) {
+  Send(aCall, [&promise](HttpResult aResult) {
     promise.set_value(std::move(aResult));
   });
   return future.get();
--- a/packages/runtime/HttpClient.h
+++ b/packages/runtime/HttpClient.h
@@ -9,7 +9,7 @@
 /** Limits of an HTTP client. */
 struct HttpClientOptions
 {
-  size_t m_maxAnswerBytes = 16 * 1024 * 1024;
+  size_t m_maxAnswerBytes = size_t{ 16 } * 1024 * 1024;
   /** Idle connections kept for each host. */
   size_t m_idlePerHost = 64;
 };
@@ -29,10 +29,10 @@
   ~HttpClient();
 
   /** Starts a call; aOnEnd is called once with its end. Any thread. */
-  void Send(HttpCall aCall, OnEnd aOnEnd);
+  void Send(const HttpCall& aCall, OnEnd aOnEnd);
 
   /** Sends a call and waits for its end; not from within aOnEnd. */
-  HttpResult SendAndWait(HttpCall aCall);
+  HttpResult SendAndWait(const HttpCall& aCall);
 
 private:
   class Impl;
--- a/packages/runtime/HttpServer.cpp
+++ b/packages/runtime/HttpServer.cpp
@@ -167,7 +167,7 @@
 Result<uint16_t>
 HttpServer::Start(const std::string& aIpAndPort)
 {
-  constexpr size_t kHeaderAllowance = 64 * 1024;
+  constexpr size_t kHeaderAllowance = size_t{ 64 } * 1024;
   // Slow callers are closed by the fabric; within the system a connection may
   // stay idle for long.
   constexpr auto kIdleTimeout = std::chrono::hours(1);
--- a/packages/runtime/HttpServer.h
+++ b/packages/runtime/HttpServer.h
@@ -11,7 +11,7 @@
 struct HttpServerOptions
 {
   int m_threads = 2;
-  size_t m_maxBodyBytes = 8 * 1024 * 1024;
+  size_t m_maxBodyBytes = size_t{ 8 } * 1024 * 1024;
 };
 
 /** An HTTP/1.1 server whose answers may be given later, from any thread. */
--- a/standins/Callers.cpp
+++ b/standins/Callers.cpp
@@ -136,7 +136,9 @@
 }
 
 bool
-Callers::RunRequest(Flow& aFlow, const RequestKind& aKind, std::string aId)
+Callers::RunRequest(Flow& aFlow,
+                    const RequestKind& aKind,
+                    const std::string& aId)
 {
   auto start = std::chrono::steady_clock::now();
   uint32_t attempt = 1;
--- a/standins/Callers.h
+++ b/standins/Callers.h
@@ -74,7 +74,9 @@
   };
 
   void RunCaller(int aNumber, Duration aPause);
-  bool RunRequest(Flow& aFlow, const RequestKind& aKind, std::string aId);
+  bool RunRequest(Flow& aFlow,
+                  const RequestKind& aKind,
+                  const std::string& aId);
   HttpResult Ask(const Flow& aFlow,
                  const RequestKind& aKind,
                  const std::string& aId,
--- a/standins/FabricStandIn.cpp
+++ b/standins/FabricStandIn.cpp
@@ -88,7 +88,7 @@
 PassOn(HttpClient& aClient,
        Balancers& aBalancers,
        HttpCall aCall,
-       HttpReply aReply,
+       const HttpReply& aReply,
        int aPicksLeft)
 {
   aCall.m_host = aBalancers.Pick();
@@ -164,13 +164,14 @@
   HttpClient prober(HttpClientOptions{});
 
   // The first port takes announcements of agents and the launcher's orders.
-  HttpServer entry({}, [&](HttpIncoming aRequest, HttpReply aReply) {
-    if (aRequest.m_path == "/balancers") {
-      balancers.Add(aRequest.Parameter("add"));
-      return aReply({ 200, {}, "", "" });
-    }
-    PassOn(client, balancers, MakeCall(aRequest, ""), aReply, kMaxPicks);
-  });
+  HttpServer entry(
+    {}, [&](const HttpIncoming& aRequest, const HttpReply& aReply) {
+      if (aRequest.m_path == "/balancers") {
+        balancers.Add(aRequest.Parameter("add"));
+        return aReply({ 200, {}, "", "" });
+      }
+      PassOn(client, balancers, MakeCall(aRequest, ""), aReply, kMaxPicks);
+    });
   std::vector<uint16_t> ports;
   Result<uint16_t> entryPort = entry.Start("127.0.0.1:0");
   ports.push_back(entryPort.value());
@@ -180,7 +181,7 @@
     auto address = std::make_shared<std::string>();
     services.push_back(std::make_unique<HttpServer>(
       HttpServerOptions{},
-      [&, address](HttpIncoming aRequest, HttpReply aReply) {
+      [&, address](const HttpIncoming& aRequest, const HttpReply& aReply) {
         PassOn(
           client, balancers, MakeCall(aRequest, *address), aReply, kMaxPicks);
       }));
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -49,7 +49,7 @@
                    const std::string& aValue,
                    uint64_t aExpected)
   {
-    constexpr size_t kMaxValueBytes = 1024 * 1024;
+    constexpr size_t kMaxValueBytes = size_t{ 1024 } * 1024;
     if (aValue.size() > kMaxValueBytes) {
       return { 413, {}, "text/plain", "value too large\n" };
     }
--- a/standins/Process.cpp
+++ b/standins/Process.cpp
@@ -44,6 +44,7 @@
                const std::string& aLogPath)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (const std::string& argument : aCommand) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- /dev/null
+++ b/test/FakeStore.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ObjectStore.h"
+
+#include <functional>
+#include <map>
+
+namespace bilberryfield {
+
+/** What goes wrong with one call to a FakeStore. */
+enum class StoreFault : uint8_t
+{
+  None,
+  Outage,     /**< The call fails and has no effect. */
+  LostAnswer, /**< The call fails after it took effect. */
+  StaleRead,  /**< A read sees the version before the last. */
+};
+
+/** A platform in memory; a hook decides on the fault of each call. */
+class FakeStore
+{
+public:
+  /** Called before each call; may itself use the store. */
+  std::function<StoreFault()> m_onCall = [] { return StoreFault::None; };
+
+  Result<FoundObject> Get(const std::string& aKey)
+  {
+    StoreFault fault = m_onCall();
+    if (fault == StoreFault::Outage || fault == StoreFault::LostAnswer) {
+      return Failure(Step::CallPlatform, "fake", "outage");
+    }
+    auto& versions = m_objects[aKey];
+    size_t back = fault == StoreFault::StaleRead ? 2 : 1;
+    if (versions.size() < back) {
+      return FoundObject{};
+    }
+    return FoundObject(versions[versions.size() - back]);
+  }
+
+  Result<PutEnd> Put(const std::string& aKey,
+                     const std::string& aValue,
+                     uint64_t aExpectedVersion)
+  {
+    StoreFault fault = m_onCall();
+    if (fault == StoreFault::Outage) {
+      return Failure(Step::CallPlatform, "fake", "outage");
+    }
+    auto& versions = m_objects[aKey];
+    uint64_t current = versions.empty() ? 0 : versions.back().m_version;
+    bool isStored = current == aExpectedVersion;
+    if (isStored) {
+      versions.push_back({ aValue, current + 1 });
+    }
+    if (fault == StoreFault::LostAnswer) {
+      return Failure(Step::CallPlatform, "fake", "answer lost");
+    }
+    return isStored ? PutEnd::Stored : PutEnd::Conflict;
+  }
+
+private:
+  std::map<std::string, std::vector<StoredObject>> m_objects;
+};
+
+static_assert(ObjectStore<FakeStore>);
+
+} // namespace bilberryfield
--- /dev/null
+++ b/test/FakeSystem.cpp
@@ -0,0 +1,517 @@
+#include "FakeSystem.h"
+
+#include <stdexcept>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr Milliseconds kDeadline{ 2000 };
+constexpr Milliseconds kDrainGrace{ 500 };
+constexpr Seconds kFlowLifetime{ 10 };
+const std::array<std::string, 2> kServices = { "catalogue", "images" };
+
+void
+Check(bool aHolds, const std::string& aPromise)
+{
+  if (!aHolds) {
+    throw std::runtime_error(aPromise);
+  }
+}
+
+std::string
+AddressOf(const std::string& aService)
+{
+  return aService == "catalogue" ? "10.0.0.1:80" : "10.0.0.2:80";
+}
+
+ConfigPointer
+MakeConfig()
+{
+  ConfigDelta delta;
+  delta.m_toVersion = 1;
+  delta.m_keys = { MakeTokenKey(1, std::string(32, 'k')) };
+  for (const std::string& name : kServices) {
+    ServiceConfig service;
+    service.m_name = name;
+    service.m_address = AddressOf(name);
+    service.m_labels = { name };
+    service.m_defaultClass = "read";
+    service.m_flowLifetime = kFlowLifetime;
+    service.m_classes = {
+      { .m_name = "read", .m_deadline = kDeadline, .m_queueLimit = 3 },
+      { .m_name = "once",
+        .m_nonRepeatable = true,
+        .m_deadline = kDeadline,
+        .m_queueLimit = 3 }
+    };
+    delta.m_entries.push_back({ service, 1, false });
+  }
+  ConfigState state;
+  state.Apply(delta);
+  return state.Current();
+}
+
+// Body of a request: "service id attempt"; the fake servers answer with it.
+std::string
+BodyOf(const std::string& aService, const std::string& aId, uint32_t aAttempt)
+{
+  return aService + " " + aId + " " + std::to_string(aAttempt);
+}
+
+WorkEnd
+EndFrom(size_t aNumber)
+{
+  switch (aNumber % 8) {
+    case 0:
+      return WorkEnd::Lost;
+    case 1:
+      return WorkEnd::NotSent;
+    default:
+      return WorkEnd::Answered;
+  }
+}
+
+} // namespace
+
+FakeSystem::FakeSystem()
+  : m_config(MakeConfig())
+  , m_balancers(kBalancers)
+  , m_agents(kAgents)
+  , m_balancerLife(kBalancers)
+  , m_agentLife(kAgents)
+  , m_drainSince(kAgents)
+  , m_callers(kCallers)
+{
+  for (size_t i = 0; i < kAgents; ++i) {
+    StartAgent(i);
+  }
+  for (size_t i = 0; i < kBalancers; ++i) {
+    StartBalancer(i);
+  }
+  for (size_t i = 0; i < kCallers; ++i) {
+    m_callers[i].m_service = kServices[i % kServices.size()];
+  }
+}
+
+MemberRecord
+FakeSystem::RecordOf(size_t aAgent) const
+{
+  MemberRecord record;
+  record.m_id = "agent-" + std::to_string(aAgent);
+  record.m_address = "127.0.0.1:" + std::to_string(aAgent + 1);
+  record.m_labels = { kServices[aAgent % kServices.size()] };
+  record.m_incarnation = m_agentLife[aAgent];
+  record.m_slots = 1;
+  return record;
+}
+
+size_t
+FakeSystem::AgentAt(const std::string& aAddress) const
+{
+  return std::stoul(aAddress.substr(aAddress.find(':') + 1)) - 1;
+}
+
+uint64_t
+FakeSystem::LinkOf(size_t aBalancer, size_t aAgent) const
+{
+  auto found = m_linkLife.find({ aBalancer, aAgent });
+  uint64_t life = found == m_linkLife.end() ? 0 : found->second;
+  return ((m_balancerLife[aBalancer] * 1000) + life) * 1000 + aBalancer;
+}
+
+void
+FakeSystem::StartBalancer(size_t aIndex)
+{
+  m_balancerLife[aIndex] = m_nextLife++;
+  m_balancers[aIndex].emplace(BalancerCore::Options{}, m_balancerLife[aIndex]);
+  Decide(aIndex, ConfigChanged{ m_config });
+  ShareMembers();
+}
+
+void
+FakeSystem::StartAgent(size_t aIndex)
+{
+  m_agentLife[aIndex] = m_nextLife++;
+  m_drainSince[aIndex].reset();
+  MemberRecord record = RecordOf(aIndex);
+  AgentOptions options;
+  options.m_server = record.m_id;
+  options.m_address = record.m_address;
+  options.m_incarnation = record.m_incarnation;
+  options.m_labels = record.m_labels;
+  options.m_admission.m_slots = 1;
+  options.m_maxLedgerEntries = 6;
+  options.m_drainGrace = kDrainGrace;
+  m_agents[aIndex].emplace(options);
+  DecideAgent(aIndex, AgentConfigChanged{ m_config });
+}
+
+void
+FakeSystem::ShareMembers()
+{
+  std::vector<MemberRecord> records;
+  for (size_t i = 0; i < kAgents; ++i) {
+    records.push_back(RecordOf(i));
+    if (m_drainSince[i]) {
+      records.back().m_state = MemberState::Draining;
+    }
+  }
+  for (size_t i = 0; i < kBalancers; ++i) {
+    if (m_balancers[i]) {
+      Decide(i, MembersChanged{ records });
+    }
+  }
+}
+
+void
+FakeSystem::Run(const FakeStep& aStep, const FakeTroubles& aTroubles)
+{
+  // A kind that stands here more often is taken more often.
+  using enum FakeKind;
+  static constexpr std::array kKinds = {
+    Ask,     Ask,         Ask,          Ask,       Ask,     AskAgain,
+    Deliver, Deliver,     Deliver,      Deliver,   Deliver, Deliver,
+    Deliver, Deliver,     End,          End,       End,     End,
+    Advance, LoseLink,    KillBalancer, KillAgent, Drain,   TellMembers,
+    Stale,   MisuseToken, Idle,
+  };
+  size_t first = aStep.m_first;
+  size_t second = aStep.m_second;
+  switch (kKinds[aStep.m_kind % kKinds.size()]) {
+    case Ask:
+      return SendAsk(first % kCallers, second % kBalancers, false);
+    case AskAgain:
+      return SendAsk(first % kCallers, second % kBalancers, true);
+    case Deliver:
+      return m_packets.empty() ? void()
+                               : DeliverPacket(first % m_packets.size());
+    case End:
+      return m_running.empty()
+               ? void()
+               : EndRunning(first % m_running.size(), EndFrom(second));
+    case Advance:
+      return Pass(Milliseconds(first % 400));
+    case Idle:
+      return first % 4 == 0 ? Pass(kFlowLifetime * 2) : void();
+    case LoseLink:
+      return LoseLinkBetween(first % kBalancers, second % kAgents);
+    case KillBalancer:
+      return aTroubles.m_kills ? RestartBalancer(first % kBalancers) : void();
+    case KillAgent:
+      return aTroubles.m_kills && second % 2 == 0
+               ? RestartAgent(first % kAgents)
+               : void();
+    case Drain:
+      return aTroubles.m_drains ? ToggleDrain(first % kAgents) : void();
+    case Stale:
+      return Decide(first % kBalancers, StalenessChanged{ second % 3 == 0 });
+    case MisuseToken:
+      return SendMisusedToken(first % kCallers, second % kBalancers);
+    case TellMembers:
+      return ShareMembers();
+  }
+}
+
+void
+FakeSystem::SendMisusedToken(size_t aCaller, size_t aBalancer)
+{
+  Caller stranger = m_callers[aCaller];
+  stranger.m_service = kServices[stranger.m_service == kServices[0] ? 1 : 0];
+  stranger.m_isOnce = false;
+  SendFor(stranger, aCaller, aBalancer);
+}
+
+void
+FakeSystem::SendAsk(size_t aCaller, size_t aBalancer, bool aIsRepeat)
+{
+  Caller& caller = m_callers[aCaller];
+  bool isWaiting = caller.m_waitsFor != 0;
+  if (isWaiting != aIsRepeat) {
+    return;
+  }
+  if (isWaiting) {
+    // The caller gave up on this connection; it asks again elsewhere under
+    // the same token and request id.
+    CutCaller(aCaller);
+  }
+  caller.m_waitsFor = m_nextAsk;
+  SendFor(caller, aCaller, aBalancer);
+}
+
+void
+FakeSystem::SendFor(const Caller& aFrom, size_t aCaller, size_t aBalancer)
+{
+  AskState ask;
+  ask.m_caller = aCaller;
+  ask.m_isOnce = aFrom.m_isOnce;
+  ask.m_service = aFrom.m_service;
+  ask.m_balancer = aBalancer;
+  ask.m_attempt = aFrom.m_attempt;
+  ask.m_id = std::to_string(aCaller) + "/" + std::to_string(aFrom.m_flow) +
+             "/" + std::to_string(aFrom.m_request);
+  uint64_t id = m_nextAsk++;
+  if (!ask.m_isOnce) {
+    ask.m_id += "/" + std::to_string(id);
+  }
+  CallerRequest request;
+  request.m_id = id;
+  request.m_serviceAddress = AddressOf(aFrom.m_service);
+  request.m_flowKey =
+    std::to_string(aCaller) + ":" + std::to_string(aFrom.m_flow);
+  request.m_token = aFrom.m_token;
+  request.m_class = ask.m_isOnce ? "once" : "read";
+  request.m_requestId = ask.m_isOnce ? ask.m_id : "";
+  request.m_attempt = ask.m_attempt;
+  request.m_sequence = aFrom.m_sequence;
+  request.m_request.m_body = BodyOf(aFrom.m_service, ask.m_id, ask.m_attempt);
+  m_asks[id] = ask;
+  Decide(aBalancer, request);
+}
+
+void
+FakeSystem::CutCaller(size_t aCaller)
+{
+  m_asks.at(m_callers[aCaller].m_waitsFor).m_isCut = true;
+  m_callers[aCaller].m_waitsFor = 0;
+}
+
+void
+FakeSystem::Decide(size_t aBalancer, const BalancerEvent& aEvent)
+{
+  for (auto& action : m_balancers[aBalancer]->OnEvent(m_now, aEvent)) {
+    if (auto* send = std::get_if<SendForward>(&action)) {
+      size_t agent = AgentAt(send->m_address);
+      m_packets.push_back({ aBalancer,
+                            LinkOf(aBalancer, agent),
+                            agent,
+                            m_agentLife[agent],
+                            send->m_forward });
+    } else if (auto* cancel = std::get_if<SendCancel>(&action)) {
+      size_t agent = AgentAt(cancel->m_address);
+      m_packets.push_back({ aBalancer,
+                            LinkOf(aBalancer, agent),
+                            agent,
+                            m_agentLife[agent],
+                            cancel->m_cancel });
+    } else if (auto* answer = std::get_if<AnswerCaller>(&action)) {
+      OnAnswer(answer->m_id, answer->m_answer);
+    }
+  }
+}
+
+void
+FakeSystem::DecideAgent(size_t aAgent, const AgentEvent& aEvent)
+{
+  for (auto& action : m_agents[aAgent]->OnEvent(m_now, aEvent)) {
+    if (auto* start = std::get_if<StartWork>(&action)) {
+      OnStart(aAgent, *start);
+    } else if (auto* send = std::get_if<SendAnswer>(&action)) {
+      m_packets.push_back({ send->m_link % 1000,
+                            send->m_link,
+                            aAgent,
+                            m_agentLife[aAgent],
+                            send->m_answer });
+    }
+  }
+}
+
+void
+FakeSystem::OnStart(size_t aAgent, const StartWork& aStart)
+{
+  const std::string& body = aStart.m_request.m_body;
+  size_t space = body.find(' ');
+  size_t last = body.rfind(' ');
+  std::string service = body.substr(0, space);
+  std::string id = body.substr(space + 1, last - space - 1);
+  auto attempt = static_cast<uint32_t>(std::stoul(body.substr(last + 1)));
+  Check(service == kServices[aAgent % kServices.size()],
+        "a request of " + service + " reached another service");
+  auto denied = m_deniedAttempt.find(id);
+  Check(denied == m_deniedAttempt.end() || denied->second < attempt,
+        "request " + id + " runs after it was told not run");
+  m_started[id].push_back(attempt);
+  // A repeatable request is told apart by its ask, so only a non-repeatable
+  // one has a name that several asks share.
+  bool isOnce = std::count(id.begin(), id.end(), '/') == 2;
+  Check(!isOnce || m_started[id].size() == 1,
+        "request " + id + " runs a second time");
+  ++m_runs;
+  m_running.push_back({ aAgent, m_agentLife[aAgent], aStart.m_work, body });
+}
+
+void
+FakeSystem::OnAnswer(uint64_t aAsk, const CallerAnswer& aAnswer)
+{
+  AskState& ask = m_asks.at(aAsk);
+  Check(!ask.m_isAnswered, "a request was answered twice");
+  ask.m_isAnswered = true;
+  if (aAnswer.m_outcome == Outcome::Served) {
+    const std::string& body = aAnswer.m_answer.m_body;
+    Check(body.starts_with(ask.m_service + " " + ask.m_id + " "),
+          "ask of " + ask.m_id + " got the answer " + body);
+    ++m_served;
+  }
+  if (aAnswer.m_outcome == Outcome::NotRun) {
+    for (uint32_t attempt : m_started[ask.m_id]) {
+      Check(attempt > ask.m_attempt,
+            "request " + ask.m_id + " was told not run after it ran");
+    }
+    uint32_t& denied = m_deniedAttempt[ask.m_id];
+    denied = std::max(denied, ask.m_attempt);
+  }
+  Caller& caller = m_callers[ask.m_caller];
+  if (ask.m_isCut || caller.m_waitsFor != aAsk) {
+    return;
+  }
+  caller.m_waitsFor = 0;
+  if (!aAnswer.m_token.empty()) {
+    caller.m_token = aAnswer.m_token;
+    caller.m_sequence += 1;
+  }
+  if (aAnswer.m_outcome == Outcome::NotRun && caller.m_attempt < 3) {
+    caller.m_attempt += 1;
+    return;
+  }
+  caller.m_request += 1;
+  caller.m_attempt = 1;
+  caller.m_isOnce = (caller.m_request + ask.m_caller) % 2 == 0;
+  if (aAnswer.m_outcome != Outcome::Served) {
+    caller.m_flow += 1;
+    caller.m_token.clear();
+    caller.m_sequence = 0;
+  }
+}
+
+void
+FakeSystem::DeliverPacket(size_t aIndex)
+{
+  Packet packet = m_packets[aIndex];
+  m_packets.erase(m_packets.begin() + static_cast<ptrdiff_t>(aIndex));
+  bool isLinkUp =
+    packet.m_balancerLife == LinkOf(packet.m_balancer, packet.m_agent);
+  bool isAgentSame = packet.m_agentLife == m_agentLife[packet.m_agent];
+  if (auto* answer = std::get_if<Answer>(&packet.m_message)) {
+    if (isLinkUp && m_balancers[packet.m_balancer]) {
+      Decide(packet.m_balancer,
+             AgentAnswer{ RecordOf(packet.m_agent).m_address, *answer });
+    }
+    return;
+  }
+  if (auto* forward = std::get_if<Forward>(&packet.m_message)) {
+    // A packet that is late may arrive when its link is gone at the other
+    // end; one for an earlier start of the agent finds nobody.
+    if (isAgentSame) {
+      DecideAgent(packet.m_agent,
+                  ForwardArrived{ packet.m_balancerLife, *forward });
+    }
+    return;
+  }
+  if (isAgentSame) {
+    DecideAgent(packet.m_agent,
+                CancelArrived{ packet.m_balancerLife,
+                               std::get<Cancel>(packet.m_message) });
+  }
+}
+
+void
+FakeSystem::EndRunning(size_t aIndex, WorkEnd aEnd)
+{
+  Running running = m_running[aIndex];
+  m_running.erase(m_running.begin() + static_cast<ptrdiff_t>(aIndex));
+  if (running.m_agentLife != m_agentLife[running.m_agent]) {
+    return;
+  }
+  if (aEnd == WorkEnd::NotSent) {
+    // Nothing reached the server, so the start does not count as a run.
+    size_t space = running.m_body.find(' ');
+    size_t last = running.m_body.rfind(' ');
+    m_started.erase(running.m_body.substr(space + 1, last - space - 1));
+  }
+  DecideAgent(running.m_agent,
+              WorkEnded{ running.m_work, aEnd, { 200, "", running.m_body } });
+}
+
+void
+FakeSystem::LoseLinkBetween(size_t aBalancer, size_t aAgent)
+{
+  if (!m_balancers[aBalancer]) {
+    return;
+  }
+  uint64_t link = LinkOf(aBalancer, aAgent);
+  m_linkLife[{ aBalancer, aAgent }] += 1;
+  std::string address = RecordOf(aAgent).m_address;
+  Decide(aBalancer, AgentLinkLost{ address, WorkLength::Short });
+  DecideAgent(aAgent, BalancerLinkLost{ link });
+}
+
+void
+FakeSystem::RestartBalancer(size_t aIndex)
+{
+  for (size_t agent = 0; agent < kAgents; ++agent) {
+    DecideAgent(agent, BalancerLinkLost{ LinkOf(aIndex, agent) });
+  }
+  for (size_t caller = 0; caller < kCallers; ++caller) {
+    uint64_t ask = m_callers[caller].m_waitsFor;
+    if (ask != 0 && m_asks.at(ask).m_balancer == aIndex) {
+      m_asks.at(ask).m_isCut = true;
+    }
+  }
+  for (auto& [id, ask] : m_asks) {
+    // Nobody is left to answer these.
+    ask.m_isAnswered |= ask.m_balancer == aIndex;
+  }
+  StartBalancer(aIndex);
+}
+
+void
+FakeSystem::RestartAgent(size_t aIndex)
+{
+  std::string address = RecordOf(aIndex).m_address;
+  StartAgent(aIndex);
+  for (size_t i = 0; i < kBalancers; ++i) {
+    m_linkLife[{ i, aIndex }] += 1;
+    Decide(i, AgentLinkLost{ address, WorkLength::Short });
+  }
+}
+
+void
+FakeSystem::ToggleDrain(size_t aIndex)
+{
+  bool isDraining = m_drainSince[aIndex].has_value();
+  m_drainSince[aIndex] =
+    isDraining ? std::nullopt : std::optional<TimePoint>(m_now);
+  DecideAgent(aIndex, DrainChanged{ !isDraining });
+}
+
+void
+FakeSystem::Pass(Duration aTime)
+{
+  m_now += aTime;
+  for (size_t i = 0; i < kBalancers; ++i) {
+    Decide(i, Wake{});
+  }
+  for (size_t i = 0; i < kAgents; ++i) {
+    DecideAgent(i, AgentWake{});
+  }
+}
+
+void
+FakeSystem::Settle()
+{
+  constexpr int kRounds = 8;
+  for (int round = 0; round < kRounds; ++round) {
+    while (!m_packets.empty()) {
+      DeliverPacket(0);
+    }
+    while (!m_running.empty()) {
+      EndRunning(0, WorkEnd::Answered);
+    }
+    Pass(kDeadline);
+  }
+  for (const auto& [id, ask] : m_asks) {
+    Check(ask.m_isAnswered, "request " + ask.m_id + " never got an answer");
+  }
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/test/FakeSystem.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "AgentCore.h"
+#include "BalancerCore.h"
+
+#include <map>
+#include <set>
+
+namespace bilberryfield {
+
+/** What happens in one step of a generated run. */
+enum class FakeKind : uint8_t
+{
+  Ask,
+  AskAgain,
+  Deliver,
+  End,
+  Advance,
+  Idle,
+  LoseLink,
+  KillBalancer,
+  KillAgent,
+  Drain,
+  Stale,
+  MisuseToken,
+  TellMembers,
+};
+
+/** One step of a generated run; its numbers are taken modulo what exists. */
+struct FakeStep
+{
+  uint32_t m_kind = 0;
+  uint32_t m_first = 0;
+  uint32_t m_second = 0;
+};
+
+/** Whether the run may contain each kind of trouble. */
+struct FakeTroubles
+{
+  bool m_kills = true;
+  bool m_drains = true;
+};
+
+/**
+ * Balancer and agent cores in virtual time, between them a network that
+ * delays, reorders and loses, and callers that ask again. It checks the
+ * promises to callers after every step and throws what was broken.
+ */
+class FakeSystem
+{
+public:
+  static constexpr size_t kBalancers = 3;
+  static constexpr size_t kAgents = 4;
+  static constexpr size_t kCallers = 4;
+
+  FakeSystem();
+
+  /** Carries out one step. */
+  void Run(const FakeStep& aStep, const FakeTroubles& aTroubles);
+
+  /** Lets everything come to rest; every request then has its answer. */
+  void Settle();
+
+  uint64_t ServedCount() const { return m_served; }
+  uint64_t RunCount() const { return m_runs; }
+
+private:
+  struct AskState
+  {
+    size_t m_caller = 0;
+    bool m_isOnce = false;
+    /** Id of the request; an ask of a repeatable one has its own. */
+    std::string m_id;
+    uint32_t m_attempt = 1;
+    std::string m_service;
+    size_t m_balancer = 0;
+    bool m_isAnswered = false;
+    bool m_isCut = false;
+  };
+
+  struct Caller
+  {
+    std::string m_service;
+    std::string m_token;
+    uint64_t m_flow = 0;
+    uint64_t m_sequence = 0;
+    uint64_t m_request = 0;
+    bool m_isOnce = false;
+    uint32_t m_attempt = 1;
+    /** Ask that the caller waits for; 0 when it waits for none. */
+    uint64_t m_waitsFor = 0;
+  };
+
+  struct Packet
+  {
+    size_t m_balancer = 0;
+    uint64_t m_balancerLife = 0;
+    size_t m_agent = 0;
+    uint64_t m_agentLife = 0;
+    std::variant<Forward, Cancel, Answer> m_message;
+  };
+
+  struct Running
+  {
+    size_t m_agent = 0;
+    uint64_t m_agentLife = 0;
+    uint64_t m_work = 0;
+    std::string m_body;
+  };
+
+  void StartBalancer(size_t aIndex);
+  void StartAgent(size_t aIndex);
+  void ShareMembers();
+  MemberRecord RecordOf(size_t aAgent) const;
+  void SendFor(const Caller& aFrom, size_t aCaller, size_t aBalancer);
+  void SendMisusedToken(size_t aCaller, size_t aBalancer);
+  void SendAsk(size_t aCaller, size_t aBalancer, bool aIsRepeat);
+  void CutCaller(size_t aCaller);
+  void DeliverPacket(size_t aIndex);
+  void EndRunning(size_t aIndex, WorkEnd aEnd);
+  void LoseLinkBetween(size_t aBalancer, size_t aAgent);
+  void RestartBalancer(size_t aIndex);
+  void RestartAgent(size_t aIndex);
+  void ToggleDrain(size_t aIndex);
+  void Pass(Duration aTime);
+  void Decide(size_t aBalancer, const BalancerEvent& aEvent);
+  void DecideAgent(size_t aAgent, const AgentEvent& aEvent);
+  void OnAnswer(uint64_t aAsk, const CallerAnswer& aAnswer);
+  void OnStart(size_t aAgent, const StartWork& aStart);
+  uint64_t LinkOf(size_t aBalancer, size_t aAgent) const;
+  size_t AgentAt(const std::string& aAddress) const;
+
+  TimePoint m_now{ Seconds(1) };
+  ConfigPointer m_config;
+  std::vector<std::optional<BalancerCore>> m_balancers;
+  std::vector<std::optional<AgentCore>> m_agents;
+  std::vector<uint64_t> m_balancerLife;
+  std::vector<uint64_t> m_agentLife;
+  std::vector<std::optional<TimePoint>> m_drainSince;
+  /** Grows when the link between a balancer and an agent is lost. */
+  std::map<std::pair<size_t, size_t>, uint64_t> m_linkLife;
+  std::vector<Caller> m_callers;
+  std::map<uint64_t, AskState> m_asks;
+  std::vector<Packet> m_packets;
+  std::vector<Running> m_running;
+  /** Attempts of each request that were started at a server. */
+  std::map<std::string, std::vector<uint32_t>> m_started;
+  /** Highest attempt of each request that was told "not run". */
+  std::map<std::string, uint32_t> m_deniedAttempt;
+  uint64_t m_nextAsk = 1;
+  uint64_t m_nextLife = 1;
+  uint64_t m_served = 0;
+  uint64_t m_runs = 0;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/test/correctness/Promises.cpp
@@ -0,0 +1,87 @@
+#include "FakeSystem.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace bilberryfield;
+
+namespace rc {
+
+template<>
+struct Arbitrary<FakeStep>
+{
+  static Gen<FakeStep> arbitrary()
+  {
+    return gen::build<FakeStep>(
+      gen::set(&FakeStep::m_kind, gen::inRange<uint32_t>(0, 27)),
+      gen::set(&FakeStep::m_first, gen::inRange<uint32_t>(0, 4000)),
+      gen::set(&FakeStep::m_second, gen::inRange<uint32_t>(0, 4000)));
+  }
+};
+
+} // namespace rc
+
+namespace bilberryfield {
+
+void
+showValue(const FakeStep& aStep, std::ostream& aStream)
+{
+  aStream << "{" << aStep.m_kind << ", " << aStep.m_first << ", "
+          << aStep.m_second << "}";
+}
+
+} // namespace bilberryfield
+
+namespace {
+
+constexpr int kStepsPerRun = 400;
+
+bool
+HoldPromises(const std::string& aName, const FakeTroubles& aTroubles)
+{
+  return rc::check(aName, [&] {
+    auto steps =
+      *rc::gen::scale(4.0, rc::gen::arbitrary<std::vector<FakeStep>>());
+    FakeSystem system;
+    for (const FakeStep& step : steps) {
+      system.Run(step, aTroubles);
+    }
+    system.Settle();
+    RC_CLASSIFY(system.ServedCount() > 3, "served more than 3 requests");
+  });
+}
+
+} // namespace
+
+Test(Promises, HoldOnAnUnreliableNetwork)
+{
+  cr_assert(HoldPromises("promises hold while links are lost",
+                         { .m_kills = false, .m_drains = false }));
+}
+
+Test(Promises, HoldWhileServersDrain)
+{
+  cr_assert(HoldPromises("promises hold while servers drain",
+                         { .m_kills = false, .m_drains = true }));
+}
+
+Test(Promises, HoldWhileProcessesDie)
+{
+  cr_assert(HoldPromises("promises hold while processes die and start",
+                         { .m_kills = true, .m_drains = true }));
+}
+
+Test(Promises, HoldInLongRuns)
+{
+  // Long runs of fixed length reach states that grown lists seldom do.
+  cr_assert(rc::check("promises hold in long runs", [] {
+    auto steps = *rc::gen::container<std::vector<FakeStep>>(
+      kStepsPerRun, rc::gen::arbitrary<FakeStep>());
+    FakeSystem system;
+    for (const FakeStep& step : steps) {
+      system.Run(step, {});
+    }
+    system.Settle();
+    RC_TAG(std::to_string(system.ServedCount() / 20 * 20) + " or more served");
+  }));
+}
--- /dev/null
+++ b/test/correctness/Publishing.cpp
@@ -0,0 +1,124 @@
+#include "FakeStore.h"
+#include "Publisher.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+PublishRequest
+RequestOf(const std::string& aId, int aService, int aPort)
+{
+  ServiceConfig service;
+  service.m_name = "service-" + std::to_string(aService);
+  service.m_address =
+    "10.0.0." + std::to_string(aService) + ":" + std::to_string(aPort);
+  service.m_labels = { "label" };
+  service.m_classes = { { .m_name = "only" } };
+  service.m_defaultClass = "only";
+  return { aId, "operator-" + aId, { service }, {}, std::string(32, 'k') };
+}
+
+ConfigHead
+HeadOf(FakeStore& aStore)
+{
+  aStore.m_onCall = [] { return StoreFault::None; };
+  return FetchHead(aStore).value().first;
+}
+
+} // namespace
+
+Test(Publishing, LetsExactlyOneOfTwoRacingOperatorsWin)
+{
+  FakeStore store;
+  PublishResult rivalResult;
+  int calls = 0;
+  store.m_onCall = [&] {
+    // The rival publishes between this operator's read and its write.
+    if (++calls == 3) {
+      rivalResult = Publish(store, RequestOf("rival", 2, 80));
+    }
+    return StoreFault::None;
+  };
+  PublishResult result = Publish(store, RequestOf("own", 1, 80));
+  cr_assert(rivalResult.m_end == PublishEnd::Accepted);
+  cr_assert(result.m_end == PublishEnd::LostRace);
+  cr_assert(result.m_winner.m_publisher == "operator-rival");
+  cr_assert(result.m_winner.m_changed ==
+            std::vector<std::string>{ "service-2" });
+  cr_assert(HeadOf(store).m_version == 1);
+}
+
+Test(Publishing, RecognisesItsOwnWriteWhenTheAnswerWasLost)
+{
+  FakeStore store;
+  int calls = 0;
+  store.m_onCall = [&] {
+    return ++calls == 3 ? StoreFault::LostAnswer : StoreFault::None;
+  };
+  PublishResult result = Publish(store, RequestOf("own", 1, 80));
+  cr_assert(result.m_end == PublishEnd::Accepted);
+  cr_assert(result.m_version == 1);
+  cr_assert(HeadOf(store).m_history.size() == 1);
+}
+
+Test(Publishing, RefusesAnAddressOfAnotherService)
+{
+  FakeStore store;
+  Publish(store, RequestOf("first", 1, 80));
+  PublishRequest second = RequestOf("second", 2, 80);
+  second.m_services[0].m_address = "10.0.0.1:80";
+  PublishResult result = Publish(store, second);
+  cr_assert(result.m_end == PublishEnd::Clash);
+  cr_assert(HeadOf(store).m_version == 1);
+}
+
+Test(Publishing, TellsTheTruthUnderEveryFault)
+{
+  cr_assert(rc::check("what an operator is told matches the history", [] {
+    FakeStore store;
+    std::map<std::string, PublishEnd> told;
+    int next = 0;
+    bool isNested = false;
+    auto publishOne = [&] {
+      std::string id = std::to_string(++next);
+      told[id] = PublishEnd::Uncertain;
+      PublishRequest request = RequestOf(id, *rc::gen::inRange(1, 4), next);
+      told[id] = Publish(store, request).m_end;
+    };
+    store.m_onCall = [&] {
+      int draw = *rc::gen::inRange(0, 12);
+      if (draw == 0 && !isNested) {
+        isNested = true;
+        publishOne();
+        isNested = false;
+      }
+      return draw < 4 ? static_cast<StoreFault>(draw) : StoreFault::None;
+    };
+    for (int i = 0; i < 5; ++i) {
+      publishOne();
+    }
+    ConfigHead head = HeadOf(store);
+    RC_ASSERT(head.m_version == head.m_history.size());
+    for (const auto& [id, end] : told) {
+      bool isAccepted = FindPublish(head, id) != nullptr;
+      if (end == PublishEnd::Accepted) {
+        RC_ASSERT(isAccepted);
+      } else if (end != PublishEnd::Uncertain) {
+        RC_ASSERT(!isAccepted);
+      }
+    }
+    // The content of each service is that of its latest accepted publish.
+    Result<ConfigDelta> delta = FetchDelta(store, head, 0);
+    RC_ASSERT(delta.has_value());
+    for (const ServiceEntry& entry : delta->m_entries) {
+      const PublishRecord& last =
+        head.m_history[head.m_version - entry.m_changedAt];
+      RC_ASSERT(last.m_changed ==
+                std::vector<std::string>{ entry.m_config.m_name });
+      RC_ASSERT(entry.m_config.m_address.ends_with(":" + last.m_publishId));
+    }
+  }));
+}
