--- a/packages/decision/Time.h
+++ b/packages/decision/Time.h
@@ -14,8 +14,8 @@
   using period = duration::period;
   using time_point = std::chrono::time_point<DecisionClock>;
   // The standard library asks for this name.
-  static constexpr bool is_steady =
-    true; // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 };
 
 /** A moment of the process's own steady time, in microseconds. */
