--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 soak: build
 	scripts/soak.sh $(BUILD)
 
+# Measures what docs/CAPACITY.md is worked out from.
+capacity: build
+	$(BUILD)/test/performance/Capacity
+
 format:
 	clang-format -i $(SOURCES)
 
