Halt needless control traffic: heartbeat replies hold only news

Cause: replies named the monitors and the whole record each time; a balancer sent its heartbeat at each tick of 250 ms; and a record's repeats were counted per round though each round goes to three balancers. Ruled out: the digests (one each 5 s) and the envelopes of empty gossip (about 40 bytes).

Change: a reply leaves out what the heartbeat already says, balancers send heartbeats each second like agents, repeats are counted per message.

Members properties: 7 passed.

--- a/packages/decision/Announcer.cpp
+++ b/packages/decision/Announcer.cpp
@@ -24,7 +24,7 @@
     return step;
   }
   m_nextHeartbeat = aNow + m_options.m_heartbeatEvery;
-  Heartbeat heartbeat{ m_self, aConfigVersion };
+  Heartbeat heartbeat{ m_self, aConfigVersion, AddressesHash(m_monitors) };
   for (const std::string& monitor : m_monitors) {
     step.m_sends.push_back({ monitor, heartbeat });
   }
@@ -42,10 +42,10 @@
   if (!aReply.m_monitors.empty()) {
     m_monitors = aReply.m_monitors;
   }
-  const MemberRecord& known = aReply.m_known;
-  if (known.m_id != m_self.m_id) {
+  if (aReply.m_known.empty() || aReply.m_known.front().m_id != m_self.m_id) {
     return;
   }
+  const MemberRecord& known = aReply.m_known.front();
   // A record of this name with a later incarnation can only be left over from
   // a start whose clock ran ahead; this start has to outlive it.
   if (known.m_incarnation > m_self.m_incarnation) {
--- a/packages/decision/Membership.cpp
+++ b/packages/decision/Membership.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+uint64_t
+AddressesHash(const std::vector<std::string>& aAddresses)
+{
+  uint64_t hash = 0;
+  for (const std::string& address : aAddresses) {
+    hash = StableHash(address, hash);
+  }
+  return hash;
+}
+
 Membership::Membership(Options aOptions, MemberRecord aSelf, uint64_t aSeed)
   : m_options(aOptions)
   , m_self(std::move(aSelf))
@@ -87,9 +97,10 @@
   // Each record is repeated a few times the logarithm of the number of
   // members, after which nearly every balancer has it; digests reach the rest.
   double members = static_cast<double>(m_members.size());
-  bool isQueued = aKnown.m_sendsLeft > 0;
-  aKnown.m_sendsLeft =
-    static_cast<uint32_t>(std::ceil(kGossipRepeats * std::log2(members + 1)));
+  bool isQueued = aKnown.m_roundsLeft > 0;
+  double sends = kGossipRepeats * std::log2(members + 1);
+  aKnown.m_roundsLeft = static_cast<uint32_t>(
+    std::ceil(sends / static_cast<double>(m_options.m_fanOut)));
   if (!isQueued) {
     m_gossipQueue.push_back(aKnown.m_record.m_id);
   }
@@ -175,8 +186,9 @@
   HeartbeatReply reply;
   reply.m_configVersion = aConfigVersion;
   Learn(aNow, record);
-  if (auto found = m_members.find(record.m_id); found != m_members.end()) {
-    reply.m_known = found->second.m_record;
+  auto found = m_members.find(record.m_id);
+  if (found != m_members.end() && found->second.m_record != record) {
+    reply.m_known.push_back(found->second.m_record);
   }
   for (const Monitor& monitor : Ring().MonitorsOf(record.m_id)) {
     reply.m_monitors.push_back(monitor.m_address);
@@ -184,14 +196,18 @@
       m_lastHeard[record.m_id] = aNow;
     }
   }
+  if (AddressesHash(reply.m_monitors) == aHeartbeat.m_monitorsHash) {
+    reply.m_monitors.clear();
+  }
   return reply;
 }
 
 void
 Membership::OnHeartbeatReply(const HeartbeatReply& aReply)
 {
-  m_selfMonitors = aReply.m_monitors;
-  RefuteIfAccused(aReply.m_known);
+  for (const MemberRecord& known : aReply.m_known) {
+    RefuteIfAccused(known);
+  }
   m_pausedAt.reset();
 }
 
@@ -326,9 +342,9 @@
     Known& known = found->second;
     if (records.size() < m_options.m_recordsPerGossip) {
       records.push_back(known.m_record);
-      known.m_sendsLeft -= 1;
+      known.m_roundsLeft -= 1;
     }
-    if (known.m_sendsLeft > 0) {
+    if (known.m_roundsLeft > 0) {
       left.push_back(std::move(id));
     }
   }
@@ -344,9 +360,16 @@
 std::vector<SendToPeer>
 Membership::OwnHeartbeats(uint64_t aConfigVersion) const
 {
+  // This balancer finds its monitors by its own ring; the reply need not name
+  // them.
   std::vector<SendToPeer> sends;
+  std::vector<std::string> addresses;
   for (const Monitor& monitor : Ring().MonitorsOf(m_self.m_id)) {
-    sends.push_back({ monitor.m_address, Heartbeat{ m_self, aConfigVersion } });
+    addresses.push_back(monitor.m_address);
+  }
+  Heartbeat heartbeat{ m_self, aConfigVersion, AddressesHash(addresses) };
+  for (const std::string& address : addresses) {
+    sends.push_back({ address, heartbeat });
   }
   return sends;
 }
@@ -364,7 +387,11 @@
     SweepUnreported(aNow);
     ForgetOldDead(aNow);
   }
-  std::vector<SendToPeer> sends = OwnHeartbeats(aConfigVersion);
+  std::vector<SendToPeer> sends;
+  if (aNow >= m_nextHeartbeat) {
+    m_nextHeartbeat = aNow + m_options.m_heartbeatEvery;
+    sends = OwnHeartbeats(aConfigVersion);
+  }
   std::vector<std::string> targets = GossipTargets();
   std::vector<MemberRecord> records;
   if (!targets.empty()) {
--- a/packages/decision/Membership.h
+++ b/packages/decision/Membership.h
@@ -14,6 +14,8 @@
 struct MembershipOptions
 {
   Duration m_tick = Milliseconds(250);
+  /** Time between two heartbeats of this balancer to its monitors. */
+  Duration m_heartbeatEvery = Seconds(1);
   /** Silence after which a monitor accuses a member. */
   Duration m_suspectAfter = Milliseconds(3000);
   /** A gap between ticks that counts as a pause of this process. */
@@ -41,6 +43,10 @@
   PeerMessage m_message;
 };
 
+/** A hash that tells whether two lists of addresses are the same. */
+uint64_t
+AddressesHash(const std::vector<std::string>& aAddresses);
+
 /**
  * The balancers' view of all members: heartbeats are watched by a few
  * monitors, changes spread by gossip, and digests repair what gossip missed.
@@ -104,8 +110,8 @@
   struct Known
   {
     MemberRecord m_record;
-    /** Gossip messages that still carry the record. */
-    uint32_t m_sendsLeft = 0;
+    /** Gossip rounds that still carry the record. */
+    uint32_t m_roundsLeft = 0;
     TimePoint m_changedAt;
   };
 
@@ -137,10 +143,10 @@
   /** Ids whose records wait to be gossiped. */
   std::vector<std::string> m_gossipQueue;
   std::vector<std::string> m_seeds;
-  std::vector<std::string> m_selfMonitors;
   uint64_t m_version = 0;
   /** Set from a pause until another balancer is heard. */
   std::optional<TimePoint> m_pausedAt;
+  TimePoint m_nextHeartbeat;
   TimePoint m_nextSync;
   TimePoint m_nextSweep;
   mutable MonitorRing m_ring;
--- a/packages/decision/Messages.h
+++ b/packages/decision/Messages.h
@@ -189,22 +189,25 @@
 {
   MemberRecord m_record;
   uint64_t m_configVersion = 0;
+  /** Hash of the monitors' addresses that the member uses. */
+  uint64_t m_monitorsHash = 0;
 
   template<typename Self, typename Visitor>
   static void Fields(Self& aSelf, Visitor& aVisitor)
   {
     aVisitor("r", aSelf.m_record);
     aVisitor("v", aSelf.m_configVersion);
+    aVisitor("h", aSelf.m_monitorsHash);
   }
 };
 
-/** A balancer's reply to a heartbeat. */
+/** A balancer's reply to a heartbeat; it holds only what is news. */
 struct HeartbeatReply
 {
-  /** Peer addresses of the balancers that shall get the heartbeats. */
+  /** Peer addresses that shall get the heartbeats; empty if unchanged. */
   std::vector<std::string> m_monitors;
-  /** The member's record as the balancer holds it. */
-  MemberRecord m_known;
+  /** The member's record at the balancer; none if it equals the heartbeat's. */
+  std::vector<MemberRecord> m_known;
   uint64_t m_configVersion = 0;
 
   template<typename Self, typename Visitor>
