Give links small read buffers

Cause: each WebSocket connection holds websocketpp's read buffer of 16 KB for life. Ruled out: the send path, which holds memory only while it sends.

--- a/packages/peer/PeerHub.cpp
+++ b/packages/peer/PeerHub.cpp
@@ -20,8 +20,24 @@
 constexpr size_t kMaxMessageBytes = size_t{ 64 } * 1024 * 1024;
 constexpr Duration kLinkTick = Milliseconds(250);
 
-using Client = websocketpp::client<websocketpp::config::asio_client>;
-using Server = websocketpp::server<websocketpp::config::asio>;
+// A connection holds its read buffer for life. Control messages are small, and
+// large answers are read in several parts.
+constexpr size_t kReadBufferBytes = 2048;
+
+struct ClientConfig : websocketpp::config::asio_client
+{
+  // NOLINTNEXTLINE(readability-identifier-naming): websocketpp's name.
+  static const size_t connection_read_buffer_size = kReadBufferBytes;
+};
+
+struct ServerConfig : websocketpp::config::asio
+{
+  // NOLINTNEXTLINE(readability-identifier-naming): websocketpp's name.
+  static const size_t connection_read_buffer_size = kReadBufferBytes;
+};
+
+using Client = websocketpp::client<ClientConfig>;
+using Server = websocketpp::server<ServerConfig>;
 using Handle = websocketpp::connection_hdl;
 using LinkName = std::pair<std::string, Lane>;
 
