Keep a drained balancer out of the fabric's rotation to its end

Cause: the drain flag was reset when the drain ended, so that for the last 300 ms the health page said "ready" again and the fabric sent new messages. Ruled out: requests cut in progress, since none was waiting at the drain's end.

Change: the flag stays set; a second one marks the end.

--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -309,7 +309,7 @@
   m_watcher.Orders().m_isWatching = m_membership->Ring().IsAmongFirstOfDomain(
     m_settings.m_id, m_settings.m_domain, kWatchersPerDomain);
   m_supervisor.OnTick(now);
-  if (m_isDraining) {
+  if (m_isDraining && !m_isDrained) {
     FinishWhenQuiet();
   }
   m_hub.At(now + kTick, [this] { Tick(); });
@@ -399,7 +399,7 @@
   if (!isQuiet && !isOverdue) {
     return;
   }
-  m_isDraining = false;
+  m_isDrained = true;
   Log(LogLevel::Info,
       "drain-ended",
       { { "waiting", m_core.WaitingCount() }, { "overdue", isOverdue } });
--- a/packages/balancer/BalancerNode.h
+++ b/packages/balancer/BalancerNode.h
@@ -75,7 +75,9 @@
   uint64_t m_toldMembers = 0;
   bool m_wasStale = false;
   TimePoint m_nextWake = TimePoint::max();
+  /** Stays set to the end, so that the fabric sends nothing more. */
   std::atomic<bool> m_isDraining{ false };
+  bool m_isDrained = false;
   TimePoint m_drainSince;
   TimePoint m_lastCallerAt;
   std::array<uint64_t, kOutcomeNames.size()> m_outcomes{};
