Measure the policy against its bounds; keep deadlines with one timer

make bench runs the real balancer and agent cores in virtual time before 7 servers, for 4 and for 2 slots, beside a baseline (round robin, FIFO, no limits).

Found on the way: the shell keeps one timer, but a wake did not ask for the next deadline, so a later deadline was only noticed with the next request. Each wake now asks for the next one; test Deadlines covers it.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,13 @@
 soak: build
 	scripts/soak.sh $(BUILD)
 
+# Measures the policy against its bounds, beside a baseline; SEED chooses the
+# arrivals.
+SEED ?= 1
+
+bench: build
+	$(BUILD)/test/performance/PolicyBench $(SEED)
+
 # Measures what docs/CAPACITY.md is worked out from.
 capacity: build
 	$(BUILD)/test/performance/Capacity
--- a/packages/decision/AgentCore.h
+++ b/packages/decision/AgentCore.h
@@ -92,7 +92,7 @@
   Answer m_answer;
 };
 
-/** Deliver an AgentWake event at this time. */
+/** Deliver an AgentWake at this time; only the earliest has to be kept. */
 struct AgentWakeAt
 {
   TimePoint m_at;
--- a/packages/decision/BalancerCore.cpp
+++ b/packages/decision/BalancerCore.cpp
@@ -499,6 +499,10 @@
       Refuse(found->second, Outcome::Unknown, RefusalReason::DeadlinePassed);
     }
   }
+  // The shell keeps one timer, so each wake asks for the next one.
+  if (!m_deadlines.empty()) {
+    m_actions.emplace_back(WakeAt{ m_deadlines.begin()->first });
+  }
 }
 
 int64_t
--- a/packages/decision/BalancerCore.h
+++ b/packages/decision/BalancerCore.h
@@ -133,7 +133,7 @@
   CallerAnswer m_answer;
 };
 
-/** Deliver a Wake event at this time. */
+/** Deliver a Wake event at this time; only the earliest one has to be kept. */
 struct WakeAt
 {
   TimePoint m_at;
--- a/packages/decision/Membership.cpp
+++ b/packages/decision/Membership.cpp
@@ -372,6 +372,7 @@
   // them.
   std::vector<SendToPeer> sends;
   std::vector<std::string> addresses;
+  addresses.reserve(MonitorRing::kMonitors);
   for (const Monitor* monitor : Ring().MonitorsOf(m_self.m_id)) {
     addresses.push_back(monitor->m_address);
   }
