Refuse earlier what would start too late

What helped: requests were admitted with a predicted wait right up to the deadline, started last and ended late, so their slots were wasted.

Change: a request that would have to wait for more than half of the time to its deadline is refused at once, with when to come back.

--- a/packages/decision/AdmissionQueue.cpp
+++ b/packages/decision/AdmissionQueue.cpp
@@ -12,6 +12,13 @@
 // Weight of the newest service time in the running mean of its class.
 constexpr double kLearningRate = 0.1;
 
+// Part of the time to the deadline that a request may be expected to wait.
+// Work that starts later often ends too late, and its slot is wasted.
+constexpr double kWaitPart = 0.5;
+
+// Credits are sums of shares such as 0.2, whose rounding must not cost a start.
+constexpr double kOneStart = 1.0 - 1e-9;
+
 Duration
 Scaled(Duration aDuration, double aFactor)
 {
@@ -96,7 +103,15 @@
   }
   uint32_t slots =
     IsLong(own) ? LongLimit() : std::max(1U, m_options.m_slots - RunningLong());
-  return Duration(static_cast<int64_t>(aheadUs / slots));
+  double waitUs = aheadUs / slots;
+  if (own.m_settings.m_minShare > 0.0 && !hasFreeSlot) {
+    // More urgent work cannot hold the class below its share, so it waits at
+    // most for its own queue at the pace of that share.
+    double ownUs = static_cast<double>(own.m_items.size() + 1) *
+                   static_cast<double>(own.m_serviceTime.count());
+    waitUs = std::min(waitUs, ownUs / (slots * own.m_settings.m_minShare));
+  }
+  return Duration(static_cast<int64_t>(waitUs));
 }
 
 std::optional<AdmissionRefusal>
@@ -117,8 +132,9 @@
   if (mustWait && queue.m_items.size() >= queue.m_settings.m_queueLimit) {
     return AdmissionRefusal{ RefusalReason::QueueFull, finish };
   }
-  if (mustWait && finish > left) {
-    return AdmissionRefusal{ RefusalReason::WaitTooLong, finish - left };
+  bool isTooLong = wait > Scaled(left, kWaitPart) || finish > left;
+  if (mustWait && isTooLong) {
+    return AdmissionRefusal{ RefusalReason::WaitTooLong, finish };
   }
   queue.m_items.push_back(aItem);
   return std::nullopt;
@@ -133,7 +149,8 @@
     if (queue.m_items.empty() || !MayStart(queue)) {
       continue;
     }
-    if (queue.m_credit >= 1.0 && (!owed || queue.m_credit > owed->m_credit)) {
+    if (queue.m_credit >= kOneStart &&
+        (!owed || queue.m_credit > owed->m_credit)) {
       owed = &queue;
     }
     bool isFirst =
