--- a/packages/decision/AdmissionQueue.cpp
+++ b/packages/decision/AdmissionQueue.cpp
@@ -10,15 +10,12 @@
 namespace {
 
 // Weight of the newest service time in the running mean of its class.
-constexpr double kLearningRate = 0.1;
+constexpr double kLearningRate = 0.02;
 
 // Part of the time to the deadline that a request may be expected to wait.
 // Work that starts later often ends too late, and its slot is wasted.
 constexpr double kWaitPart = 0.5;
 
-// Credits are sums of shares such as 0.2, whose rounding must not cost a start.
-constexpr double kOneStart = 1.0 - 1e-9;
-
 Duration
 Scaled(Duration aDuration, double aFactor)
 {
@@ -149,8 +146,7 @@
     if (queue.m_items.empty() || !MayStart(queue)) {
       continue;
     }
-    if (queue.m_credit >= kOneStart &&
-        (!owed || queue.m_credit > owed->m_credit)) {
+    if (queue.m_credit >= 1.0 && (!owed || queue.m_credit > owed->m_credit)) {
       owed = &queue;
     }
     bool isFirst =
