Keep a server that fails fast from drawing new flows

Cause: a server that breaks requests off at once has free slots and a low load, so both candidates' comparison prefers it, and flows bound to it stay. Ruled out: stale load reports (the failing server's reports were fresh).

Change: broken-off requests count as waiting ones in the load, halving each 2 s; a repeatable request whose server failed is tried elsewhere, within the retry budget, and takes its flow along. New retry reason server-failed.

--- a/packages/decision/BalancerCore.cpp
+++ b/packages/decision/BalancerCore.cpp
@@ -1,6 +1,7 @@
 #include "BalancerCore.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberryfield {
 
@@ -194,9 +195,31 @@
     double reported = view.m_load.m_running + view.m_load.m_queued;
     load = std::max(load, reported);
   }
+  // A server that breaks requests off is quick and looks idle; counting its
+  // failures as waiting requests keeps it from drawing all new flows.
+  load += FailuresOf(view);
   return load / std::max<uint32_t>(1, aServer.m_slots);
 }
 
+double
+BalancerCore::FailuresOf(const ServerView& aView) const
+{
+  double halvings = static_cast<double>((m_now - aView.m_failuresAt).count()) /
+                    static_cast<double>(m_options.m_failureHalfLife.count());
+  return aView.m_failures * std::exp2(-halvings);
+}
+
+void
+BalancerCore::OnServerFailed(Pending& aPending)
+{
+  ServerView& view = m_views[aPending.m_try.m_server.m_address];
+  view.m_failures = FailuresOf(view) + 1.0;
+  view.m_failuresAt = m_now;
+  aPending.m_mayHaveRun = true;
+  aPending.m_lastReason = RefusalReason::ServerFailed;
+  RetryElsewhere(aPending, RetryReason::ServerFailed);
+}
+
 ServerList
 BalancerCore::OrderedCandidates(const std::string& aService,
                                 const std::string& aFlowKey) const
@@ -330,6 +353,9 @@
 void
 BalancerCore::OnRefused(Pending& aPending, const Answer& aAnswer)
 {
+  if (aAnswer.m_reason == RefusalReason::ServerFailed) {
+    return OnServerFailed(aPending);
+  }
   if (aAnswer.m_outcome != Outcome::NotRun) {
     return Refuse(aPending, aAnswer.m_outcome, aAnswer.m_reason);
   }
@@ -398,8 +424,9 @@
   }
   // A try that cost a server its work is paid for out of the retry budget;
   // one that was turned away without work is not.
-  bool putLoad =
-    aReason == RetryReason::Overloaded || aReason == RetryReason::LinkLost;
+  bool putLoad = aReason == RetryReason::Overloaded ||
+                 aReason == RetryReason::LinkLost ||
+                 aReason == RetryReason::ServerFailed;
   if (putLoad && !m_budget.TryTake()) {
     return GiveUp(aPending);
   }
--- a/packages/decision/BalancerCore.h
+++ b/packages/decision/BalancerCore.h
@@ -150,6 +150,8 @@
   double m_retryBurst = 10.0;
   /** Time for which a server that could not be reached is tried last. */
   Duration m_avoidFor = Seconds(2);
+  /** Time in which the memory of a server's failures halves. */
+  Duration m_failureHalfLife = Seconds(2);
   /** Age at which a load report says nothing any more. */
   Duration m_loadFreshFor = Seconds(1);
   /** Come-back time for callers when no server is known, ms. */
@@ -222,6 +224,9 @@
     TimePoint m_loadAt;
     uint32_t m_waiting = 0;
     TimePoint m_avoidUntil;
+    /** Broken-off requests, as of m_failuresAt; the count decays. */
+    double m_failures = 0.0;
+    TimePoint m_failuresAt;
   };
 
   void Handle(const CallerRequest& aRequest);
@@ -251,6 +256,8 @@
   ServerList OrderedCandidates(const std::string& aService,
                                const std::string& aFlowKey) const;
   double LoadOf(const ServerRef& aServer) const;
+  double FailuresOf(const ServerView& aView) const;
+  void OnServerFailed(Pending& aPending);
   std::string TokenFor(const Pending& aPending, const Binding& aBinding) const;
   int64_t Jittered(int64_t aRetryAfterMs);
 
--- a/packages/decision/Outcome.h
+++ b/packages/decision/Outcome.h
@@ -91,16 +91,18 @@
   NotSent,
   LinkLost,
   EarlierIncarnation,
+  ServerFailed,
   Count,
 };
 
-inline constexpr NameTable<RetryReason, 6> kRetryNames = { {
+inline constexpr NameTable<RetryReason, 7> kRetryNames = { {
   { RetryReason::NotOwner, "not-owner" },
   { RetryReason::Draining, "draining" },
   { RetryReason::Overloaded, "overloaded" },
   { RetryReason::NotSent, "not-sent" },
   { RetryReason::LinkLost, "link-lost" },
   { RetryReason::EarlierIncarnation, "earlier-incarnation" },
+  { RetryReason::ServerFailed, "server-failed" },
 } };
 
 static_assert(kRetryNames.size() == static_cast<size_t>(RetryReason::Count));
--- a/test/performance/PolicySim.cpp
+++ b/test/performance/PolicySim.cpp
@@ -223,7 +223,8 @@
   }
   for (const auto& row : kRetryNames) {
     bool putsLoad = row.m_value == RetryReason::Overloaded ||
-                    row.m_value == RetryReason::LinkLost;
+                    row.m_value == RetryReason::LinkLost ||
+                    row.m_value == RetryReason::ServerFailed;
     m_result.m_retries += putsLoad ? m_balancer->Retries().Get(row.m_value) : 0;
   }
   return m_result;
