Let long work hold a quarter of the slots instead of half

Cause: flows stay at their server, so short work there queues for the slots that long work leaves; with half of them gone the p99 of lookups grew by more than a third at 4 slots. Ruled out: the choice of servers (busiest share 1.004).

--- a/packages/decision/AdmissionQueue.h
+++ b/packages/decision/AdmissionQueue.h
@@ -73,7 +73,7 @@
   /** Requests that the backend server runs at a time. */
   uint32_t m_slots = 1;
   /** Part of the slots that long work may hold. */
-  double m_longShare = 0.5;
+  double m_longShare = 0.25;
   /** Service time assumed for a class that has not run yet. */
   Duration m_firstServiceTime = Milliseconds(10);
 };
