--- a/packages/agent/AgentNode.cpp
+++ b/packages/agent/AgentNode.cpp
@@ -35,6 +35,12 @@
   , m_incarnation(aIncarnation)
   , m_server(HttpClientOptions{})
   , m_fabric(HttpClientOptions{})
+  , m_journalWriter(m_settings.m_platform,
+                    [this](uint64_t aSequence) {
+                      m_hub.Post([this, aSequence] {
+                        m_core->Records().OnStored(aSequence);
+                      });
+                    })
   , m_admin([this](std::function<void()> aFunction) {
     m_hub.Post(std::move(aFunction));
   })
@@ -66,6 +72,13 @@
                      RestartPolicy::Never,
                      [this] { return StartLinks(); },
                      [] {} });
+  m_supervisor.Add({ "journal-writer",
+                     RestartPolicy::Always,
+                     [this]() -> Result<void> {
+                       m_journalWriter.Start();
+                       return {};
+                     },
+                     [this] { m_journalWriter.Stop(); } });
   m_supervisor.Add(
     { "admin-server",
       RestartPolicy::Never,
@@ -233,6 +246,7 @@
 {
   Announce();
   Decide(AgentWake{});
+  StoreJournal(false);
   m_supervisor.OnTick(m_hub.Now());
   if (m_isStopping) {
     FinishWhenQuiet();
@@ -240,6 +254,28 @@
   m_hub.At(m_hub.Now() + kTick, [this] { Tick(); });
 }
 
+void
+AgentNode::StoreJournal(bool aIsLast)
+{
+  // The platform takes several hundred writes a second from all agents, so
+  // each one writes seldom.
+  constexpr size_t kBatchRecords = 2000;
+  TimePoint now = m_hub.Now();
+  if (now < m_nextJournal && !aIsLast) {
+    return;
+  }
+  Journal& journal = m_core->Records();
+  if (journal.PendingCount() == 0) {
+    return;
+  }
+  bool isTaken = m_journalWriter.Write({ journal.Origin(),
+                                         journal.LostCount(),
+                                         journal.PendingBatch(kBatchRecords) });
+  if (isTaken) {
+    m_nextJournal = now + m_settings.m_journalEvery;
+  }
+}
+
 void
 AgentNode::Decide(const AgentEvent& aEvent)
 {
@@ -338,6 +374,10 @@
   bool isQuiet = since >= m_settings.m_drainGrace + m_settings.m_drainLinger &&
                  m_core->IsIdle();
   bool isOverdue = since >= m_settings.m_drainLimit;
+  if (isQuiet && !isOverdue && m_core->Records().PendingCount() > 0) {
+    // The last records leave before the process does.
+    return StoreJournal(true);
+  }
   if (!isQuiet && !isOverdue) {
     return;
   }
@@ -380,6 +420,8 @@
              { "links", m_hub.LinkCount() },
              { "link_bytes_sent", m_hub.BytesSent() },
              { "link_bytes_received", m_hub.BytesReceived() },
+             { "journal_pending", m_core->Records().PendingCount() },
+             { "journal_dropped", m_core->Records().LostCount() },
              { "refusals", CountersToJson(kRefusalNames, m_core->Refusals()) },
              { "supervisor", SupervisorToJson(m_supervisor) } } };
 }
--- a/packages/agent/AgentNode.h
+++ b/packages/agent/AgentNode.h
@@ -4,6 +4,7 @@
 #include "AgentCore.h"
 #include "Announcer.h"
 #include "HttpClient.h"
+#include "JournalWriter.h"
 #include "PeerDispatch.h"
 #include "Settings.h"
 #include "Supervisor.h"
@@ -42,6 +43,7 @@
   void Announce();
   void SetDraining(bool aIsDraining);
   void FinishWhenQuiet();
+  void StoreJournal(bool aIsLast);
   void Decide(const AgentEvent& aEvent);
   void Carry(const StartWork& aAction);
   void Carry(const CancelWork& aAction);
@@ -57,6 +59,8 @@
   ConfigState m_config;
   HttpClient m_server;
   HttpClient m_fabric;
+  JournalWriter m_journalWriter;
+  TimePoint m_nextJournal;
   AdminServer m_admin;
   Supervisor m_supervisor;
   std::optional<StepError> m_startFailure;
--- a/packages/control/Bilberryctl.cpp
+++ b/packages/control/Bilberryctl.cpp
@@ -35,6 +35,7 @@
   "  explain flow SERVICE CALLER [TOKEN]\n"
   "                                  where a flow goes, and why\n"
   "  explain reason NAME             what a refusal means\n"
+  "  audit SERVER                    verify a server's journals and order\n"
   "  config show | history           the accepted configuration\n\n"
   "Examples:\n"
   "  bilberryctl check services/*.json\n"
@@ -75,6 +76,9 @@
   if (aName == "explain") {
     return RunExplain(aContext);
   }
+  if (aName == "audit") {
+    return RunAudit(aContext);
+  }
   if (aName == "config") {
     return RunConfig(aContext);
   }
--- a/packages/control/Commands.h
+++ b/packages/control/Commands.h
@@ -26,6 +26,10 @@
 ExitCode
 RunExplain(const CommandContext& aContext);
 
+/** audit SERVER: verifies a server's journals and the order of service. */
+ExitCode
+RunAudit(const CommandContext& aContext);
+
 /** config show, config history. */
 ExitCode
 RunConfig(const CommandContext& aContext);
--- a/packages/decision/AgentCore.h
+++ b/packages/decision/AgentCore.h
@@ -144,6 +144,7 @@
   size_t FlowCount() const { return m_flows.size(); }
   size_t LedgerSize() const { return m_ledger.Size(); }
   Journal& Records() { return m_journal; }
+  const Journal& Records() const { return m_journal; }
 
 private:
   struct Flow
--- a/packages/decision/Journal.cpp
+++ b/packages/decision/Journal.cpp
@@ -12,26 +12,22 @@
 std::string
 ChainHash(const std::string& aBefore, const JournalRecord& aRecord)
 {
-  std::string text =
-    nlohmann::json::array({ aBefore,
-                            aRecord.m_sequence,
-                            aRecord.m_atUs,
-                            aRecord.m_event,
-                            aRecord.m_item,
-                            aRecord.m_service,
-                            aRecord.m_class,
-                            aRecord.m_flow,
-                            aRecord.m_requestId,
-                            aRecord.m_outcome,
-                            aRecord.m_reason })
-      .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  // CBOR keeps every byte of a text, also where it is not UTF-8.
+  std::vector<uint8_t> bytes =
+    nlohmann::json::to_cbor(nlohmann::json::array({ aBefore,
+                                                    aRecord.m_sequence,
+                                                    aRecord.m_atUs,
+                                                    aRecord.m_event,
+                                                    aRecord.m_item,
+                                                    aRecord.m_service,
+                                                    aRecord.m_class,
+                                                    aRecord.m_flow,
+                                                    aRecord.m_requestId,
+                                                    aRecord.m_outcome,
+                                                    aRecord.m_reason }));
   std::array<unsigned char, kChainBytes> hash{};
-  crypto_generichash(hash.data(),
-                     hash.size(),
-                     reinterpret_cast<const unsigned char*>(text.data()),
-                     text.size(),
-                     nullptr,
-                     0);
+  crypto_generichash(
+    hash.data(), hash.size(), bytes.data(), bytes.size(), nullptr, 0);
   std::array<char, 2 * kChainBytes + 1> hex{};
   return sodium_bin2hex(hex.data(), hex.size(), hash.data(), hash.size());
 }
--- a/packages/decision/Journal.h
+++ b/packages/decision/Journal.h
@@ -4,6 +4,7 @@
 #include "Time.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,40 @@
   std::string m_chain;
 
   bool operator==(const JournalRecord&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("n", aSelf.m_sequence);
+    aVisitor("t", aSelf.m_atUs);
+    aVisitor("e", aSelf.m_event);
+    aVisitor("i", aSelf.m_item);
+    aVisitor("s", aSelf.m_service);
+    aVisitor("c", aSelf.m_class);
+    aVisitor("f", aSelf.m_flow);
+    aVisitor.Bytes("r", aSelf.m_requestId);
+    aVisitor("o", aSelf.m_outcome);
+    aVisitor("w", aSelf.m_reason);
+    aVisitor("h", aSelf.m_chain);
+  }
+};
+
+/** Records that are stored together as one object of the platform. */
+struct JournalBatch
+{
+  /** Server and incarnation, as the journal's chain starts with. */
+  std::string m_origin;
+  /** Records dropped before they could be stored, so far. */
+  uint64_t m_lost = 0;
+  std::vector<JournalRecord> m_records;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("j", aSelf.m_origin);
+    aVisitor("l", aSelf.m_lost);
+    aVisitor("r", aSelf.m_records);
+  }
 };
 
 /** The first place at which a journal does not hold together. */
--- a/packages/peer/Codec.h
+++ b/packages/peer/Codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Journal.h"
 #include "Messages.h"
 
 namespace bilberryfield {
@@ -12,4 +13,12 @@
 Result<PeerMessage>
 DecodeMessage(const std::string& aBytes, const std::string& aPeer);
 
+/** Stored form of journal records. */
+std::string
+EncodeJournal(const JournalBatch& aBatch);
+
+/** The journal records in the object under aKey. */
+Result<JournalBatch>
+DecodeJournal(const std::string& aBytes, const std::string& aKey);
+
 } // namespace bilberryfield
--- /dev/null
+++ b/packages/peer/FieldCodec.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "ServiceConfig.h"
+
+#include <type_traits>
+
+namespace bilberryfield {
+
+/** Writes the fields that a type lists into a JSON object. */
+class FieldWriter
+{
+public:
+  explicit FieldWriter(nlohmann::json& aObject)
+    : m_object(aObject)
+  {
+  }
+
+  template<typename Value>
+  void operator()(const char* aKey, const Value& aValue)
+  {
+    m_object[aKey] = Encode(aValue);
+  }
+
+  void Bytes(const char* aKey, const std::string& aBytes)
+  {
+    m_object[aKey] = nlohmann::json::binary(
+      std::vector<uint8_t>(aBytes.begin(), aBytes.end()));
+  }
+
+  template<typename Value>
+  static nlohmann::json Encode(const Value& aValue)
+  {
+    if constexpr (std::is_enum_v<Value>) {
+      return static_cast<uint64_t>(aValue);
+    } else if constexpr (std::is_same_v<Value, ServiceConfig>) {
+      return ToJson(aValue);
+    } else if constexpr (requires(FieldWriter & aWriter) {
+                           Value::Fields(aValue, aWriter);
+                         }) {
+      nlohmann::json object = nlohmann::json::object();
+      FieldWriter writer(object);
+      Value::Fields(aValue, writer);
+      return object;
+    } else {
+      return aValue;
+    }
+  }
+
+  template<typename Value>
+  static nlohmann::json Encode(const std::vector<Value>& aValues)
+  {
+    nlohmann::json list = nlohmann::json::array();
+    for (const Value& value : aValues) {
+      list.push_back(Encode(value));
+    }
+    return list;
+  }
+
+private:
+  nlohmann::json& m_object;
+};
+
+/**
+ * Reads the fields that a type lists out of a JSON object. Throws a JSON
+ * exception when a field is missing or of another kind.
+ */
+class FieldReader
+{
+public:
+  explicit FieldReader(const nlohmann::json& aObject)
+    : m_object(aObject)
+  {
+  }
+
+  template<typename Value>
+  void operator()(const char* aKey, Value& aValue)
+  {
+    Decode(m_object.at(aKey), aValue);
+  }
+
+  void Bytes(const char* aKey, std::string& aBytes)
+  {
+    const nlohmann::json::binary_t& binary = m_object.at(aKey).get_binary();
+    aBytes.assign(binary.begin(), binary.end());
+  }
+
+  template<typename Value>
+  static void Decode(const nlohmann::json& aJson, Value& aValue)
+  {
+    if constexpr (std::is_enum_v<Value>) {
+      aValue = static_cast<Value>(aJson.get<uint8_t>());
+    } else if constexpr (std::is_same_v<Value, ServiceConfig>) {
+      DecodeService(aJson, aValue);
+    } else if constexpr (requires(FieldReader & aReader) {
+                           Value::Fields(aValue, aReader);
+                         }) {
+      FieldReader reader(aJson);
+      Value::Fields(aValue, reader);
+    } else {
+      aJson.get_to(aValue);
+    }
+  }
+
+  template<typename Value>
+  static void Decode(const nlohmann::json& aJson, std::vector<Value>& aValues)
+  {
+    for (const nlohmann::json& item :
+         aJson.get_ref<const nlohmann::json::array_t&>()) {
+      Decode(item, aValues.emplace_back());
+    }
+  }
+
+private:
+  static void DecodeService(const nlohmann::json& aJson,
+                            ServiceConfig& aService)
+  {
+    ServiceParse parsed = ParseServiceConfig(aJson);
+    if (!parsed) {
+      std::ostringstream text;
+      text << parsed.error().front();
+      throw nlohmann::json::other_error::create(0, text.str(), nullptr);
+    }
+    aService = std::move(*parsed);
+  }
+
+  const nlohmann::json& m_object;
+};
+
+} // namespace bilberryfield
--- a/packages/runtime/Settings.cpp
+++ b/packages/runtime/Settings.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int64_t kMaxDrainMs = 3'600'000;
+constexpr int64_t kMaxTimeMs = 3'600'000;
 constexpr int64_t kMaxSlots = 10'000;
 
 // Port 0 is allowed for addresses that this process listens on.
@@ -25,12 +25,10 @@
 }
 
 Milliseconds
-ReadDrainTime(JsonFields& aFields,
-              const std::string& aKey,
-              Milliseconds aDefault)
+ReadTime(JsonFields& aFields, const std::string& aKey, Milliseconds aDefault)
 {
   return Milliseconds(
-    aFields.OptionalInteger(aKey, aDefault.count(), 0, kMaxDrainMs));
+    aFields.OptionalInteger(aKey, aDefault.count(), 0, kMaxTimeMs));
 }
 
 void
@@ -43,10 +41,12 @@
     aFields.OptionalInteger("slots", aSettings.m_slots, 1, kMaxSlots));
   aSettings.m_longShare =
     aFields.OptionalNumber("long_share", aSettings.m_longShare, 0.0, 1.0);
+  aSettings.m_journalEvery =
+    ReadTime(aFields, "journal_every_ms", aSettings.m_journalEvery);
   aSettings.m_drainGrace =
-    ReadDrainTime(aFields, "drain_grace_ms", aSettings.m_drainGrace);
+    ReadTime(aFields, "drain_grace_ms", aSettings.m_drainGrace);
   aSettings.m_drainLinger =
-    ReadDrainTime(aFields, "drain_linger_ms", aSettings.m_drainLinger);
+    ReadTime(aFields, "drain_linger_ms", aSettings.m_drainLinger);
 }
 
 } // namespace
@@ -66,7 +66,7 @@
   settings.m_logLevel =
     fields.OptionalName("log_level", kLogLevelNames, settings.m_logLevel);
   settings.m_drainLimit =
-    ReadDrainTime(fields, "drain_limit_ms", settings.m_drainLimit);
+    ReadTime(fields, "drain_limit_ms", settings.m_drainLimit);
   if (settings.m_role == Role::Agent) {
     ReadAgentFields(fields, settings);
   } else {
--- a/packages/runtime/Settings.h
+++ b/packages/runtime/Settings.h
@@ -35,9 +35,11 @@
   /** Agent: requests that the backend server runs at a time. */
   uint32_t m_slots = 4;
   /** Agent: part of the slots that long work may hold. */
-  double m_longShare = 0.5;
+  double m_longShare = 0.25;
   /** Agent: time for which a drained server still takes known flows. */
   Milliseconds m_drainGrace{ 2'000 };
+  /** Agent: time between two writes of its journal to the platform. */
+  Milliseconds m_journalEvery{ 60'000 };
   /** Agent: time for which it stays after a drain to redirect its flows. */
   Milliseconds m_drainLinger{ 5'000 };
 };
--- a/standins/Cluster.cpp
+++ b/standins/Cluster.cpp
@@ -171,7 +171,8 @@
                       { "fabric", m_fabricAddresses[0] },
                       { "server", node.m_server },
                       { "labels", { aGroup.m_label } },
-                      { "slots", aGroup.m_slots } };
+                      { "slots", aGroup.m_slots },
+                      { "journal_every_ms", 500 } };
   StartDaemon(node, id);
   m_agents[id] = std::move(node);
 }
--- a/test/FakeSystem.cpp
+++ b/test/FakeSystem.cpp
@@ -1,5 +1,7 @@
 #include "FakeSystem.h"
 
+#include "Audit.h"
+
 #include <stdexcept>
 
 namespace bilberryfield {
@@ -496,6 +498,20 @@
   }
 }
 
+void
+FakeSystem::CheckJournal(const AgentCore& aAgent) const
+{
+  const Journal& journal = aAgent.Records();
+  auto records = journal.PendingBatch(journal.PendingCount());
+  Check(!VerifyJournal(journal.Origin(), records),
+        "the journal of " + journal.Origin() + " does not hold together");
+  AuditReport report = AuditOrder(records);
+  Check(report.m_faults.empty(),
+        "the journal of " + journal.Origin() + " shows a wrong order");
+  Check(report.m_open == 0,
+        "the journal of " + journal.Origin() + " has open requests at rest");
+}
+
 void
 FakeSystem::Settle()
 {
@@ -512,6 +528,9 @@
   for (const auto& [id, ask] : m_asks) {
     Check(ask.m_isAnswered, "request " + ask.m_id + " never got an answer");
   }
+  for (size_t i = 0; i < kAgents; ++i) {
+    CheckJournal(*m_agents[i]);
+  }
 }
 
 } // namespace bilberryfield
--- a/test/FakeSystem.h
+++ b/test/FakeSystem.h
@@ -127,6 +127,7 @@
   void DecideAgent(size_t aAgent, const AgentEvent& aEvent);
   void OnAnswer(uint64_t aAsk, const CallerAnswer& aAnswer);
   void OnStart(size_t aAgent, const StartWork& aStart);
+  void CheckJournal(const AgentCore& aAgent) const;
   uint64_t LinkOf(size_t aBalancer, size_t aAgent) const;
   size_t AgentAt(const std::string& aAddress) const;
 
--- /dev/null
+++ b/test/correctness/JournalChain.cpp
@@ -0,0 +1,73 @@
+#include "AgentCore.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+std::vector<JournalRecord>
+AnyJournal(size_t aCount)
+{
+  Journal journal("server/7", aCount);
+  for (size_t i = 0; i < aCount; ++i) {
+    JournalRecord record;
+    record.m_atUs = *rc::gen::arbitrary<int64_t>();
+    record.m_event = *rc::gen::element(JournalEvent::Queued,
+                                       JournalEvent::Started,
+                                       JournalEvent::Ended,
+                                       JournalEvent::Refused);
+    record.m_item = i;
+    record.m_requestId = *rc::gen::arbitrary<std::string>();
+    journal.Append(record);
+  }
+  return journal.PendingBatch(aCount);
+}
+
+} // namespace
+
+Test(JournalChain, HoldsForWhatWasAppended)
+{
+  cr_assert(rc::check("an untouched journal verifies", [] {
+    auto records = AnyJournal(*rc::gen::inRange<size_t>(0, 20));
+    RC_ASSERT(!VerifyJournal("server/7", records));
+    RC_ASSERT(records.empty() || VerifyJournal("server/8", records));
+  }));
+}
+
+Test(JournalChain, ShowsEveryChange)
+{
+  cr_assert(rc::check("a record changed, dropped or moved is found", [] {
+    auto records = AnyJournal(*rc::gen::inRange<size_t>(2, 20));
+    auto altered = records;
+    size_t place = *rc::gen::inRange<size_t>(0, records.size());
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        altered[place].m_atUs ^= 1;
+        break;
+      case 1:
+        altered[place].m_requestId += "x";
+        break;
+      case 2:
+        std::swap(altered[place], altered[(place + 1) % altered.size()]);
+        break;
+      default:
+        altered.erase(altered.begin() + static_cast<ptrdiff_t>(place));
+        // A journal that only lacks its end still holds together.
+        RC_PRE(place + 1 < records.size());
+    }
+    RC_ASSERT(VerifyJournal("server/7", altered));
+  }));
+}
+
+Test(JournalChain, CountsWhatItHadToDrop)
+{
+  Journal journal("server/7", 3);
+  for (int i = 0; i < 5; ++i) {
+    journal.Append({});
+  }
+  cr_assert(journal.LostCount() == 2);
+  auto fault = VerifyJournal("server/7", journal.PendingBatch(10));
+  cr_assert(fault && fault->m_sequence == 1);
+}
