--- a/test/FakeSystem.cpp
+++ b/test/FakeSystem.cpp
@@ -178,9 +178,18 @@
     Advance, LoseLink,    KillBalancer, KillAgent, Drain,   TellMembers,
     Stale,   MisuseToken, Idle,
   };
-  size_t first = aStep.m_first;
-  size_t second = aStep.m_second;
-  switch (kKinds[aStep.m_kind % kKinds.size()]) {
+  Perform(
+    { kKinds[aStep.m_kind % kKinds.size()], aStep.m_first, aStep.m_second },
+    aTroubles);
+}
+
+void
+FakeSystem::Perform(const FakeAction& aAction, const FakeTroubles& aTroubles)
+{
+  using enum FakeKind;
+  size_t first = aAction.m_first;
+  size_t second = aAction.m_second;
+  switch (aAction.m_kind) {
     case Ask:
       return SendAsk(first % kCallers, second % kBalancers, false);
     case AskAgain:
--- a/test/FakeSystem.h
+++ b/test/FakeSystem.h
@@ -26,6 +26,30 @@
   TellMembers,
 };
 
+inline constexpr NameTable<FakeKind, 13> kFakeKindNames = { {
+  { FakeKind::Ask, "ask" },
+  { FakeKind::AskAgain, "ask-again" },
+  { FakeKind::Deliver, "deliver" },
+  { FakeKind::End, "end" },
+  { FakeKind::Advance, "advance" },
+  { FakeKind::Idle, "idle" },
+  { FakeKind::LoseLink, "lose-link" },
+  { FakeKind::KillBalancer, "kill-balancer" },
+  { FakeKind::KillAgent, "kill-agent" },
+  { FakeKind::Drain, "drain" },
+  { FakeKind::Stale, "stale" },
+  { FakeKind::MisuseToken, "misuse-token" },
+  { FakeKind::TellMembers, "tell-members" },
+} };
+
+/** One step of a recorded run, by the name of its kind. */
+struct FakeAction
+{
+  FakeKind m_kind = FakeKind::Ask;
+  uint32_t m_first = 0;
+  uint32_t m_second = 0;
+};
+
 /** One step of a generated run; its numbers are taken modulo what exists. */
 struct FakeStep
 {
@@ -58,6 +82,9 @@
   /** Carries out one step. */
   void Run(const FakeStep& aStep, const FakeTroubles& aTroubles);
 
+  /** Carries out one step of a recorded run. */
+  void Perform(const FakeAction& aAction, const FakeTroubles& aTroubles);
+
   /** Lets everything come to rest; every request then has its answer. */
   void Settle();
 
