Take a starting balancer into rotation when it knows the members

Cause: the health page said "ready" from the first moment, so a balancer that knew no servers yet got new flows and had to refuse them. Ruled out: holding requests until members are known, since a final answer must not be held back.

Change: the health page says "starting" until a second passes without news of members, at most 5 s after the start; a full page of a repair asks for the next page at once. The fabric stand-in waits for the first good health check.

The generated runs now also fail when a drained server starts a request that arrived after the grace.

--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -155,10 +155,7 @@
 BalancerNode::OnCallerMessage(HttpIncoming aIncoming, HttpReply aReply)
 {
   if (aIncoming.m_path == "/-/health") {
-    return aReply({ static_cast<uint16_t>(m_isDraining ? 503 : 200),
-                    {},
-                    "text/plain",
-                    m_isDraining ? "draining\n" : "ready\n" });
+    return aReply(HealthAnswer());
   }
   m_hub.Post(
     [this, incoming = std::move(aIncoming), reply = std::move(aReply)] {
@@ -173,6 +170,20 @@
     });
 }
 
+HttpOutgoing
+BalancerNode::HealthAnswer() const
+{
+  constexpr uint16_t kOk = 200;
+  constexpr uint16_t kUnavailable = 503;
+  if (m_isDraining) {
+    return { kUnavailable, {}, "text/plain", "draining\n" };
+  }
+  if (!m_isReady) {
+    return { kUnavailable, {}, "text/plain", "starting\n" };
+  }
+  return { kOk, {}, "text/plain", "ready\n" };
+}
+
 void
 BalancerNode::OnAnnounce(const HttpIncoming& aIncoming, const HttpReply& aReply)
 {
@@ -308,6 +319,7 @@
   TellCoreOfMembers();
   m_watcher.Orders().m_isWatching = m_membership->Ring().IsAmongFirstOfDomain(
     m_settings.m_id, m_settings.m_domain, kWatchersPerDomain);
+  m_isReady = m_isReady || m_membership->IsSettled(now);
   m_supervisor.OnTick(now);
   if (m_isDraining && !m_isDrained) {
     FinishWhenQuiet();
--- a/packages/balancer/BalancerNode.h
+++ b/packages/balancer/BalancerNode.h
@@ -34,6 +34,7 @@
   PeerCallbacks MakePeerCallbacks();
   Result<void> StartLinks();
   void OnCallerMessage(HttpIncoming aIncoming, HttpReply aReply);
+  HttpOutgoing HealthAnswer() const;
   void OnAnnounce(const HttpIncoming& aIncoming, const HttpReply& aReply);
   void OnPeerMessage(uint64_t aLink, const std::string& aBytes);
   void OnPeerReply(const std::string& aAddress, const std::string& aBytes);
@@ -78,6 +79,8 @@
   /** Stays set to the end, so that the fabric sends nothing more. */
   std::atomic<bool> m_isDraining{ false };
   bool m_isDrained = false;
+  /** Set when this balancer knows enough to take new flows; then stays set. */
+  std::atomic<bool> m_isReady{ false };
   TimePoint m_drainSince;
   TimePoint m_lastCallerAt;
   std::array<uint64_t, kOutcomeNames.size()> m_outcomes{};
--- a/packages/decision/Membership.cpp
+++ b/packages/decision/Membership.cpp
@@ -70,6 +70,15 @@
          !Others().m_present.empty();
 }
 
+bool
+Membership::IsSettled(TimePoint aNow) const
+{
+  bool isQuiet = m_lastChange && aNow - *m_lastChange >= m_options.m_quietFor;
+  bool isOverdue =
+    m_firstTick && aNow - *m_firstTick >= m_options.m_settleLimit;
+  return isQuiet || isOverdue;
+}
+
 const MonitorRing&
 Membership::Ring() const
 {
@@ -159,6 +168,9 @@
     OnBalancersChanged();
   }
   ++m_version;
+  if (aRecord.m_id != m_self.m_id) {
+    m_lastChange = aNow;
+  }
   return true;
 }
 
@@ -377,6 +389,7 @@
     addresses.push_back(monitor->m_address);
   }
   Heartbeat heartbeat{ m_self, aConfigVersion, AddressesHash(addresses) };
+  sends.reserve(addresses.size());
   for (const std::string& address : addresses) {
     sends.push_back({ address, heartbeat });
   }
@@ -386,6 +399,9 @@
 std::vector<SendToPeer>
 Membership::OnTick(TimePoint aNow, uint64_t aConfigVersion)
 {
+  if (!m_firstTick) {
+    m_firstTick = aNow;
+  }
   if (m_pause.OnTick(aNow)) {
     ForgiveAll(aNow);
   }
@@ -505,8 +521,15 @@
   if (!aRecords.m_wantBack || !isValid) {
     return {};
   }
-  return { { aRecords.m_from,
-             RecordsOf(aRecords.m_buckets, aRecords.m_bucketCount) } };
+  std::vector<SendToPeer> sends = {
+    { aRecords.m_from, RecordsOf(aRecords.m_buckets, aRecords.m_bucketCount) }
+  };
+  // A full page means that more is missing, as after a start; it is asked for
+  // at once instead of with the next digest.
+  if (aRecords.m_records.size() >= m_options.m_recordsPerSync / 2) {
+    sends.push_back({ aRecords.m_from, MakeDigest() });
+  }
+  return sends;
 }
 
 std::vector<std::string>
--- a/packages/decision/Membership.h
+++ b/packages/decision/Membership.h
@@ -23,6 +23,10 @@
   Duration m_pauseLimit = Milliseconds(1500);
   /** Time after a pause for which the process waits to hear from others. */
   Duration m_staleLimit = Seconds(3);
+  /** Time without news after which a start counts as over. */
+  Duration m_quietFor = Seconds(1);
+  /** Time after which a start counts as over in any case. */
+  Duration m_settleLimit = Seconds(5);
   /** Time between two digests to a random balancer. */
   Duration m_syncEvery = Seconds(5);
   /** Time between two sweeps for members that nobody reports. */
@@ -101,6 +105,12 @@
    */
   bool IsStale(TimePoint aNow) const;
 
+  /**
+   * True once the news of the start has come in: nothing changed for
+   * Options::m_quietFor, or Options::m_settleLimit has passed.
+   */
+  bool IsSettled(TimePoint aNow) const;
+
   /** The current assignment of monitors. */
   const MonitorRing& Ring() const;
 
@@ -155,6 +165,9 @@
   std::deque<std::string> m_gossipQueue;
   std::vector<std::string> m_seeds;
   uint64_t m_version = 0;
+  std::optional<TimePoint> m_firstTick;
+  /** Time of the last news of another member. */
+  std::optional<TimePoint> m_lastChange;
   /** Set from a pause until another balancer is heard. */
   std::optional<TimePoint> m_pausedAt;
   TimePoint m_nextHeartbeat;
--- a/standins/FabricStandIn.cpp
+++ b/standins/FabricStandIn.cpp
@@ -31,7 +31,7 @@
   void Add(const std::string& aAddress)
   {
     std::lock_guard lock(m_mutex);
-    m_all.push_back({ aAddress, true });
+    m_all.push_back({ aAddress, false });
   }
 
   std::vector<std::string> All()
@@ -74,7 +74,8 @@
   struct Target
   {
     std::string m_address;
-    bool m_isHealthy = true;
+    /** Set by the first health check that succeeds. */
+    bool m_isHealthy = false;
   };
 
   std::mutex m_mutex;
--- a/test/FakeSystem.cpp
+++ b/test/FakeSystem.cpp
@@ -331,6 +331,8 @@
 FakeSystem::OnStart(size_t aAgent, const StartWork& aStart)
 {
   const std::string& body = aStart.m_request.m_body;
+  Check(!m_isPastGrace || body != m_arrivedBody,
+        "a drained server got the new request " + body);
   size_t space = body.find(' ');
   size_t last = body.rfind(' ');
   std::string service = body.substr(0, space);
@@ -413,6 +415,9 @@
     // A packet that is late may arrive when its link is gone at the other
     // end; one for an earlier start of the agent finds nobody.
     if (isAgentSame) {
+      const auto& drainSince = m_drainSince[packet.m_agent];
+      m_isPastGrace = drainSince && m_now - *drainSince >= kDrainGrace;
+      m_arrivedBody = forward->m_request.m_body;
       DecideAgent(packet.m_agent,
                   ForwardArrived{ packet.m_balancerLife, *forward });
     }
--- a/test/FakeSystem.h
+++ b/test/FakeSystem.h
@@ -175,6 +175,9 @@
   std::map<std::string, std::vector<uint32_t>> m_started;
   /** Highest attempt of each request that was told "not run". */
   std::map<std::string, uint32_t> m_deniedAttempt;
+  /** Body of the request that arrived last, and whether it came too late. */
+  std::string m_arrivedBody;
+  bool m_isPastGrace = false;
   uint64_t m_nextAsk = 1;
   uint64_t m_nextLife = 1;
   uint64_t m_served = 0;
