Give both daemons one frame; leave no process after a failed test

The loop, links, operators' interface, supervisor tree, wake timer and end of the process stood twice, in BalancerNode and AgentNode; they are now in NodeShell. Stop signals likewise, in StopSignals.h.

Seen: programs of a process test that failed an assertion ran on for 27 minutes, since a failed assertion runs no destructors. Each process suite now ends with Process::KillAll; tried with an assertion that fails on purpose: 0 processes left.

--- a/packages/agent/AgentNode.cpp
+++ b/packages/agent/AgentNode.cpp
@@ -33,19 +33,12 @@
 AgentNode::AgentNode(Settings aSettings, uint64_t aIncarnation)
   : m_settings(std::move(aSettings))
   , m_incarnation(aIncarnation)
+  , m_shell("agent", m_settings)
+  , m_hub(m_shell.Hub())
   , m_server(HttpClientOptions{})
   , m_fabric(HttpClientOptions{})
-  , m_journalWriter(m_settings.m_platform,
-                    [this](uint64_t aSequence) {
-                      m_hub.Post([this, aSequence] {
-                        m_core->Records().OnStored(aSequence);
-                      });
-                    })
-  , m_admin([this](std::function<void()> aFunction) {
-    m_hub.Post(std::move(aFunction));
-  })
-  , m_supervisor("agent", {}, [this](const StepError& aError) {
-    m_startFailure = aError;
+  , m_journalWriter(m_settings.m_platform, [this](uint64_t aSequence) {
+    m_hub.Post([this, aSequence] { m_core->Records().OnStored(aSequence); });
   })
 {
 }
@@ -55,68 +48,40 @@
 {
   AddRoutes();
   AddChildren();
-  m_supervisor.Start(m_hub.Now());
-  if (m_startFailure) {
-    m_supervisor.Stop();
-    return tl::unexpected(*m_startFailure);
-  }
-  m_hub.Post([this] { Tick(); });
-  m_loop = std::thread([this] { m_hub.Run(); });
-  return {};
+  return m_shell.Start(kTick, [this] { Tick(); });
 }
 
 void
 AgentNode::AddChildren()
 {
-  m_supervisor.Add({ "peer-links",
-                     RestartPolicy::Never,
-                     [this] { return StartLinks(); },
-                     [] {} });
-  m_supervisor.Add({ "journal-writer",
-                     RestartPolicy::Always,
-                     [this]() -> Result<void> {
-                       m_journalWriter.Start();
-                       return {};
-                     },
-                     [this] { m_journalWriter.Stop(); } });
-  m_supervisor.Add(
-    { "admin-server",
-      RestartPolicy::Never,
-      [this]() -> Result<void> {
-        return m_admin.Start(m_settings.m_adminListen).map([](uint16_t aPort) {
-          Log(LogLevel::Info, "admin-listening", { { "port", aPort } });
-        });
-      },
-      [this] { m_admin.Stop(); } });
+  m_shell.Tree().Add({ "peer-links",
+                       RestartPolicy::Never,
+                       [this] { return StartLinks(); },
+                       [] {} });
+  m_shell.Tree().Add({ "journal-writer",
+                       RestartPolicy::Always,
+                       [this]() -> Result<void> {
+                         m_journalWriter.Start();
+                         return {};
+                       },
+                       [this] { m_journalWriter.Stop(); } });
+  m_shell.AddAdminChild();
 }
 
 Result<void>
 AgentNode::StartLinks()
 {
-  m_hub.SetCallbacks(MakePeerCallbacks());
-  const std::string& listen = m_settings.m_peerListen;
-  size_t colon = listen.rfind(':');
-  std::string ip = listen.substr(0, colon);
-  uint16_t port = m_hub.Listen(
-    ip, static_cast<uint16_t>(std::stoi(listen.substr(colon + 1))));
-  if (port == 0) {
-    return Failure(Step::Listen, listen, "the address cannot be used");
+  auto self = m_shell.Listen(MakePeerCallbacks(), m_incarnation);
+  if (!self) {
+    return tl::unexpected(self.error());
   }
-  MemberRecord self;
-  self.m_id = m_settings.m_id;
-  self.m_role = Role::Agent;
-  self.m_address = ip + ":" + std::to_string(port);
-  self.m_domain = m_settings.m_domain;
-  self.m_labels = m_settings.m_labels;
-  self.m_slots = m_settings.m_slots;
-  self.m_incarnation = m_incarnation;
-  m_announcer.emplace(Announcer::Options{}, self);
+  m_announcer.emplace(Announcer::Options{}, *self);
 
   AgentOptions options;
-  options.m_server = self.m_id;
-  options.m_address = self.m_address;
+  options.m_server = self->m_id;
+  options.m_address = self->m_address;
   options.m_incarnation = m_incarnation;
-  options.m_labels = self.m_labels;
+  options.m_labels = self->m_labels;
   options.m_admission.m_slots = m_settings.m_slots;
   options.m_admission.m_longShare = m_settings.m_longShare;
   options.m_drainGrace = m_settings.m_drainGrace;
@@ -146,12 +111,13 @@
 void
 AgentNode::AddRoutes()
 {
-  m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
-  m_admin.Add("POST /drain", [this](const HttpIncoming&) {
+  m_shell.Admin().Add("GET /status",
+                      [this](const HttpIncoming&) { return Status(); });
+  m_shell.Admin().Add("POST /drain", [this](const HttpIncoming&) {
     SetDraining(true);
     return Status();
   });
-  m_admin.Add("POST /undrain", [this](const HttpIncoming&) {
+  m_shell.Admin().Add("POST /undrain", [this](const HttpIncoming&) {
     SetDraining(false);
     return Status();
   });
@@ -160,12 +126,9 @@
 void
 AgentNode::OnPeerMessage(uint64_t aLink, const std::string& aBytes)
 {
-  Result<PeerMessage> message = DecodeMessage(aBytes, std::to_string(aLink));
+  std::optional<PeerMessage> message =
+    m_shell.Decode(aBytes, std::to_string(aLink));
   if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", message.error().m_peer },
-          { "detail", message.error().m_detail } });
     return;
   }
   if (auto* forward = std::get_if<Forward>(&*message)) {
@@ -180,11 +143,8 @@
 void
 AgentNode::OnPeerReply(const std::string& aAddress, const std::string& aBytes)
 {
-  Result<PeerMessage> message = DecodeMessage(aBytes, aAddress);
+  std::optional<PeerMessage> message = m_shell.Decode(aBytes, aAddress);
   if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", aAddress }, { "detail", message.error().m_detail } });
     return;
   }
   if (auto* reply = std::get_if<HeartbeatReply>(&*message)) {
@@ -247,11 +207,9 @@
   Announce();
   Decide(AgentWake{});
   StoreJournal(false);
-  m_supervisor.OnTick(m_hub.Now());
   if (m_isStopping) {
     FinishWhenQuiet();
   }
-  m_hub.At(m_hub.Now() + kTick, [this] { Tick(); });
 }
 
 void
@@ -328,16 +286,7 @@
 void
 AgentNode::Carry(const AgentWakeAt& aAction)
 {
-  if (aAction.m_at >= m_nextWake) {
-    return;
-  }
-  m_nextWake = aAction.m_at;
-  m_hub.At(aAction.m_at, [this, at = aAction.m_at] {
-    if (m_nextWake == at) {
-      m_nextWake = TimePoint::max();
-    }
-    Decide(AgentWake{});
-  });
+  m_shell.WakeAt(aAction.m_at, [this] { Decide(AgentWake{}); });
 }
 
 void
@@ -387,16 +336,7 @@
       { { "idle", m_core->IsIdle() }, { "overdue", isOverdue } });
   m_announcer->SetState(MemberState::Left);
   Announce();
-  m_hub.At(now + kFlushTime, [this] { m_stopped.set_value(); });
-}
-
-void
-AgentNode::WaitUntilStopped()
-{
-  m_stopped.get_future().wait();
-  m_supervisor.Stop();
-  m_hub.Stop();
-  m_loop.join();
+  m_shell.FinishAfter(kFlushTime);
 }
 
 AdminAnswer
@@ -423,7 +363,7 @@
              { "journal_pending", m_core->Records().PendingCount() },
              { "journal_dropped", m_core->Records().LostCount() },
              { "refusals", CountersToJson(kRefusalNames, m_core->Refusals()) },
-             { "supervisor", SupervisorToJson(m_supervisor) } } };
+             { "supervisor", SupervisorToJson(m_shell.Tree()) } } };
 }
 
 } // namespace bilberryfield
--- a/packages/agent/AgentNode.h
+++ b/packages/agent/AgentNode.h
@@ -1,16 +1,10 @@
 #pragma once
 
-#include "AdminServer.h"
 #include "AgentCore.h"
 #include "Announcer.h"
 #include "HttpClient.h"
 #include "JournalWriter.h"
-#include "PeerDispatch.h"
-#include "Settings.h"
-#include "Supervisor.h"
-
-#include <future>
-#include <thread>
+#include "NodeShell.h"
 
 namespace bilberryfield {
 
@@ -28,7 +22,7 @@
   void BeginShutdown();
 
   /** Waits until the shutdown is over. */
-  void WaitUntilStopped();
+  void WaitUntilStopped() { m_shell.WaitUntilStopped(); }
 
 private:
   void AddChildren();
@@ -53,7 +47,8 @@
 
   Settings m_settings;
   uint64_t m_incarnation;
-  PeerHub m_hub;
+  NodeShell m_shell;
+  PeerHub& m_hub;
   std::optional<AgentCore> m_core;
   std::optional<Announcer> m_announcer;
   ConfigState m_config;
@@ -61,14 +56,8 @@
   HttpClient m_fabric;
   JournalWriter m_journalWriter;
   TimePoint m_nextJournal;
-  AdminServer m_admin;
-  Supervisor m_supervisor;
-  std::optional<StepError> m_startFailure;
-  TimePoint m_nextWake = TimePoint::max();
   bool m_isStopping = false;
   TimePoint m_stopSince;
-  std::promise<void> m_stopped;
-  std::thread m_loop;
 };
 
 } // namespace bilberryfield
--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -20,14 +20,13 @@
 BalancerNode::BalancerNode(Settings aSettings, uint64_t aIncarnation)
   : m_settings(std::move(aSettings))
   , m_incarnation(aIncarnation)
+  , m_shell("balancer", m_settings)
+  , m_hub(m_shell.Hub())
   , m_core({}, StableHash(m_settings.m_id, aIncarnation))
   , m_callers({},
               [this](HttpIncoming aIncoming, HttpReply aReply) {
                 OnCallerMessage(std::move(aIncoming), std::move(aReply));
               })
-  , m_admin([this](std::function<void()> aFunction) {
-    m_hub.Post(std::move(aFunction));
-  })
   , m_watcher(m_settings.m_platform,
               m_settings.m_domain,
               { [this](ConfigDelta aDelta) {
@@ -40,9 +39,6 @@
                     m_membership->AddSeeds(seeds);
                   });
                 } })
-  , m_supervisor("balancer", {}, [this](const StepError& aError) {
-    m_startFailure = aError;
-  })
 {
 }
 
@@ -51,31 +47,24 @@
 {
   AddRoutes();
   AddChildren();
-  m_supervisor.Start(m_hub.Now());
-  if (m_startFailure) {
-    m_supervisor.Stop();
-    return tl::unexpected(*m_startFailure);
-  }
-  m_hub.Post([this] { Tick(); });
-  m_loop = std::thread([this] { m_hub.Run(); });
-  return {};
+  return m_shell.Start(kTick, [this] { Tick(); });
 }
 
 void
 BalancerNode::AddChildren()
 {
-  m_supervisor.Add({ "peer-links",
-                     RestartPolicy::Never,
-                     [this] { return StartLinks(); },
-                     [] {} });
-  m_supervisor.Add({ "config-watcher",
-                     RestartPolicy::Always,
-                     [this]() -> Result<void> {
-                       m_watcher.Start(m_membership->Self().m_address);
-                       return {};
-                     },
-                     [this] { m_watcher.Stop(); } });
-  m_supervisor.Add(
+  m_shell.Tree().Add({ "peer-links",
+                       RestartPolicy::Never,
+                       [this] { return StartLinks(); },
+                       [] {} });
+  m_shell.Tree().Add({ "config-watcher",
+                       RestartPolicy::Always,
+                       [this]() -> Result<void> {
+                         m_watcher.Start(m_membership->Self().m_address);
+                         return {};
+                       },
+                       [this] { m_watcher.Stop(); } });
+  m_shell.Tree().Add(
     { "caller-server",
       RestartPolicy::Never,
       [this]() -> Result<void> {
@@ -85,37 +74,18 @@
           });
       },
       [this] { m_callers.Stop(); } });
-  m_supervisor.Add(
-    { "admin-server",
-      RestartPolicy::Never,
-      [this]() -> Result<void> {
-        return m_admin.Start(m_settings.m_adminListen).map([](uint16_t aPort) {
-          Log(LogLevel::Info, "admin-listening", { { "port", aPort } });
-        });
-      },
-      [this] { m_admin.Stop(); } });
+  m_shell.AddAdminChild();
 }
 
 Result<void>
 BalancerNode::StartLinks()
 {
-  m_hub.SetCallbacks(MakePeerCallbacks());
-  const std::string& listen = m_settings.m_peerListen;
-  size_t colon = listen.rfind(':');
-  std::string ip = listen.substr(0, colon);
-  uint16_t port = m_hub.Listen(
-    ip, static_cast<uint16_t>(std::stoi(listen.substr(colon + 1))));
-  if (port == 0) {
-    return Failure(Step::Listen, listen, "the address cannot be used");
+  auto self = m_shell.Listen(MakePeerCallbacks(), m_incarnation);
+  if (!self) {
+    return tl::unexpected(self.error());
   }
-  MemberRecord self;
-  self.m_id = m_settings.m_id;
-  self.m_role = Role::Balancer;
-  self.m_address = ip + ":" + std::to_string(port);
-  self.m_domain = m_settings.m_domain;
-  self.m_incarnation = m_incarnation;
   m_membership.emplace(
-    Membership::Options{}, self, StableHash(self.m_id, m_incarnation));
+    Membership::Options{}, *self, StableHash(self->m_id, m_incarnation));
   return {};
 }
 
@@ -143,10 +113,11 @@
 void
 BalancerNode::AddRoutes()
 {
-  m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
-  m_admin.Add("GET /config",
-              [this](const HttpIncoming&) { return ShowConfig(); });
-  m_admin.Add("GET /explain", [this](const HttpIncoming& aRequest) {
+  m_shell.Admin().Add("GET /status",
+                      [this](const HttpIncoming&) { return Status(); });
+  m_shell.Admin().Add("GET /config",
+                      [this](const HttpIncoming&) { return ShowConfig(); });
+  m_shell.Admin().Add("GET /explain", [this](const HttpIncoming& aRequest) {
     return Explain(aRequest);
   });
 }
@@ -200,12 +171,9 @@
 void
 BalancerNode::OnPeerMessage(uint64_t aLink, const std::string& aBytes)
 {
-  Result<PeerMessage> message = DecodeMessage(aBytes, std::to_string(aLink));
+  std::optional<PeerMessage> message =
+    m_shell.Decode(aBytes, std::to_string(aLink));
   if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", message.error().m_peer },
-          { "detail", message.error().m_detail } });
     return;
   }
   std::visit([&](const auto& aOne) { Handle(aLink, aOne); }, *message);
@@ -215,11 +183,8 @@
 BalancerNode::OnPeerReply(const std::string& aAddress,
                           const std::string& aBytes)
 {
-  Result<PeerMessage> message = DecodeMessage(aBytes, aAddress);
+  std::optional<PeerMessage> message = m_shell.Decode(aBytes, aAddress);
   if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", aAddress }, { "detail", message.error().m_detail } });
     return;
   }
   if (auto* answer = std::get_if<Answer>(&*message)) {
@@ -320,11 +285,9 @@
   m_watcher.Orders().m_isWatching = m_membership->Ring().IsAmongFirstOfDomain(
     m_settings.m_id, m_settings.m_domain, kWatchersPerDomain);
   m_isReady = m_isReady || m_membership->IsSettled(now);
-  m_supervisor.OnTick(now);
   if (m_isDraining && !m_isDrained) {
     FinishWhenQuiet();
   }
-  m_hub.At(now + kTick, [this] { Tick(); });
 }
 
 void
@@ -366,17 +329,7 @@
 void
 BalancerNode::Carry(const WakeAt& aAction)
 {
-  // One timer serves all deadlines; each wake arms the next one.
-  if (aAction.m_at >= m_nextWake) {
-    return;
-  }
-  m_nextWake = aAction.m_at;
-  m_hub.At(aAction.m_at, [this, at = aAction.m_at] {
-    if (m_nextWake == at) {
-      m_nextWake = TimePoint::max();
-    }
-    Decide(Wake{});
-  });
+  m_shell.WakeAt(aAction.m_at, [this] { Decide(Wake{}); });
 }
 
 void
@@ -417,16 +370,7 @@
       { { "waiting", m_core.WaitingCount() }, { "overdue", isOverdue } });
   m_membership->SetSelfState(MemberState::Left);
   Send(m_membership->OnTick(now, m_config.Current()->m_version));
-  m_hub.At(now + kFlushTime, [this] { m_stopped.set_value(); });
-}
-
-void
-BalancerNode::WaitUntilStopped()
-{
-  m_stopped.get_future().wait();
-  m_supervisor.Stop();
-  m_hub.Stop();
-  m_loop.join();
+  m_shell.FinishAfter(kFlushTime);
 }
 
 AdminAnswer
@@ -462,7 +406,7 @@
              { "refusals", CountersToJson(kRefusalNames, m_core.Refusals()) },
              { "retries", CountersToJson(kRetryNames, m_core.Retries()) },
              { "members", members },
-             { "supervisor", SupervisorToJson(m_supervisor) } } };
+             { "supervisor", SupervisorToJson(m_shell.Tree()) } } };
 }
 
 AdminAnswer
--- a/packages/balancer/BalancerNode.h
+++ b/packages/balancer/BalancerNode.h
@@ -1,14 +1,9 @@
 #pragma once
 
-#include "AdminServer.h"
 #include "BalancerCore.h"
 #include "ConfigWatcher.h"
 #include "Membership.h"
-#include "PeerDispatch.h"
-#include "Settings.h"
-#include "Supervisor.h"
-
-#include <future>
+#include "NodeShell.h"
 
 namespace bilberryfield {
 
@@ -26,7 +21,7 @@
   void BeginShutdown();
 
   /** Waits until the shutdown is over. */
-  void WaitUntilStopped();
+  void WaitUntilStopped() { m_shell.WaitUntilStopped(); }
 
 private:
   void AddChildren();
@@ -62,20 +57,17 @@
 
   Settings m_settings;
   uint64_t m_incarnation;
-  PeerHub m_hub;
+  NodeShell m_shell;
+  PeerHub& m_hub;
   BalancerCore m_core;
   std::optional<Membership> m_membership;
   ConfigState m_config;
   HttpServer m_callers;
-  AdminServer m_admin;
   ConfigWatcher m_watcher;
-  Supervisor m_supervisor;
-  std::optional<StepError> m_startFailure;
   std::unordered_map<uint64_t, HttpReply> m_replies;
   uint64_t m_nextCaller = 1;
   uint64_t m_toldMembers = 0;
   bool m_wasStale = false;
-  TimePoint m_nextWake = TimePoint::max();
   /** Stays set to the end, so that the fabric sends nothing more. */
   std::atomic<bool> m_isDraining{ false };
   bool m_isDrained = false;
@@ -84,8 +76,6 @@
   TimePoint m_drainSince;
   TimePoint m_lastCallerAt;
   std::array<uint64_t, kOutcomeNames.size()> m_outcomes{};
-  std::promise<void> m_stopped;
-  std::thread m_loop;
 };
 
 } // namespace bilberryfield
--- a/packages/control/Bilberryd.cpp
+++ b/packages/control/Bilberryd.cpp
@@ -1,10 +1,10 @@
 #include "AgentNode.h"
 #include "BalancerNode.h"
+#include "StopSignals.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sodium.h>
@@ -40,23 +40,10 @@
   }
 }
 
-sigset_t
-BlockStopSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  return signals;
-}
-
 template<typename Node>
 int
 RunNode(const Settings& aSettings)
 {
-  // Every thread inherits the blocked signals, so that only the wait below
-  // receives them.
   sigset_t signals = BlockStopSignals();
   auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   auto incarnation = static_cast<uint64_t>(
@@ -71,8 +58,7 @@
       "started",
       { { "role", NameOf(kRoleNames, aSettings.m_role) },
         { "incarnation", incarnation } });
-  int received = 0;
-  sigwait(&signals, &received);
+  WaitForStop(signals);
   node.BeginShutdown();
   node.WaitUntilStopped();
   Log(LogLevel::Info, "stopped");
--- /dev/null
+++ b/packages/node/NodeShell.cpp
@@ -0,0 +1,120 @@
+#include "NodeShell.h"
+
+#include "Log.h"
+
+namespace bilberryfield {
+
+NodeShell::NodeShell(std::string aName, const Settings& aSettings)
+  : m_settings(aSettings)
+  , m_admin([this](std::function<void()> aFunction) {
+    m_hub.Post(std::move(aFunction));
+  })
+  , m_supervisor(std::move(aName), {}, [this](const StepError& aError) {
+    m_startFailure = aError;
+  })
+{
+}
+
+Result<MemberRecord>
+NodeShell::Listen(PeerCallbacks aCallbacks, uint64_t aIncarnation)
+{
+  m_hub.SetCallbacks(std::move(aCallbacks));
+  const std::string& listen = m_settings.m_peerListen;
+  size_t colon = listen.rfind(':');
+  std::string ip = listen.substr(0, colon);
+  uint16_t port = m_hub.Listen(
+    ip, static_cast<uint16_t>(std::stoi(listen.substr(colon + 1))));
+  if (port == 0) {
+    return Failure(Step::Listen, listen, "the address cannot be used");
+  }
+  MemberRecord self;
+  self.m_id = m_settings.m_id;
+  self.m_role = m_settings.m_role;
+  self.m_address = ip + ":" + std::to_string(port);
+  self.m_domain = m_settings.m_domain;
+  self.m_labels = m_settings.m_labels;
+  self.m_slots = m_settings.m_slots;
+  self.m_incarnation = aIncarnation;
+  return self;
+}
+
+void
+NodeShell::AddAdminChild()
+{
+  auto start = [this]() -> Result<void> {
+    return m_admin.Start(m_settings.m_adminListen).map([](uint16_t aPort) {
+      Log(LogLevel::Info, "admin-listening", { { "port", aPort } });
+    });
+  };
+  m_supervisor.Add({ "admin-server", RestartPolicy::Never, start, [this] {
+                      m_admin.Stop();
+                    } });
+}
+
+Result<void>
+NodeShell::Start(Duration aEvery, std::function<void()> aTick)
+{
+  m_tickEvery = aEvery;
+  m_tick = std::move(aTick);
+  m_supervisor.Start(m_hub.Now());
+  if (m_startFailure) {
+    m_supervisor.Stop();
+    return tl::unexpected(*m_startFailure);
+  }
+  m_hub.Post([this] { Tick(); });
+  m_loop = std::thread([this] { m_hub.Run(); });
+  return {};
+}
+
+void
+NodeShell::Tick()
+{
+  m_tick();
+  m_supervisor.OnTick(m_hub.Now());
+  m_hub.At(m_hub.Now() + m_tickEvery, [this] { Tick(); });
+}
+
+void
+NodeShell::WakeAt(TimePoint aAt, std::function<void()> aWake)
+{
+  if (aAt >= m_nextWake) {
+    return;
+  }
+  m_nextWake = aAt;
+  m_hub.At(aAt, [this, aAt, wake = std::move(aWake)] {
+    if (m_nextWake == aAt) {
+      m_nextWake = TimePoint::max();
+    }
+    wake();
+  });
+}
+
+std::optional<PeerMessage>
+NodeShell::Decode(const std::string& aBytes, const std::string& aPeer) const
+{
+  Result<PeerMessage> message = DecodeMessage(aBytes, aPeer);
+  if (message) {
+    return std::move(*message);
+  }
+  Log(LogLevel::Warning,
+      "message-rejected",
+      { { "peer", aPeer }, { "detail", message.error().m_detail } });
+  return std::nullopt;
+}
+
+void
+NodeShell::FinishAfter(Duration aTime)
+{
+  m_hub.At(m_hub.Now() + aTime, [this] { m_stopped.set_value(); });
+}
+
+void
+NodeShell::WaitUntilStopped()
+{
+  m_stopped.get_future().wait();
+  m_supervisor.Stop();
+  m_hub.Stop();
+  m_loop.join();
+}
+
+} // namespace bilberryfield
--- a/standins/Process.cpp
+++ b/standins/Process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -13,6 +14,29 @@
 
 namespace bilberryfield {
 
+namespace {
+
+// A failed assertion leaves a test without running destructors, so the
+// programs that it started are also kept here.
+std::set<pid_t>&
+RunningIds()
+{
+  static std::set<pid_t> ids;
+  return ids;
+}
+
+} // namespace
+
+void
+Process::KillAll()
+{
+  for (pid_t id : RunningIds()) {
+    kill(id, SIGKILL);
+    waitpid(id, nullptr, 0);
+  }
+  RunningIds().clear();
+}
+
 Process::Process(pid_t aPid, std::string aLogPath)
   : m_pid(aPid)
   , m_logPath(std::move(aLogPath))
@@ -65,6 +89,7 @@
   if (failed != 0) {
     return Failure(Step::Connect, aCommand.front(), "cannot be started");
   }
+  RunningIds().insert(pid);
   return Process(pid, aLogPath);
 }
 
@@ -84,6 +109,7 @@
   }
   int status = 0;
   waitpid(m_pid, &status, 0);
+  RunningIds().erase(m_pid);
   m_pid = -1;
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
--- a/standins/Process.h
+++ b/standins/Process.h
@@ -37,6 +37,9 @@
 
   bool IsRunning() const { return m_pid > 0; }
 
+  /** Ends every program still running, also where no destructor will run. */
+  static void KillAll();
+
 private:
   Process(pid_t aPid, std::string aLogPath);
 
--- a/test/process/AuditTrail.cpp
+++ b/test/process/AuditTrail.cpp
@@ -7,6 +7,8 @@
 
 using namespace bilberryfield;
 
+TestSuite(AuditTrail, .fini = Process::KillAll);
+
 Test(AuditTrail, OfAStoppedServerIsStoredWholeAndInOrder)
 {
   ReadyCluster cluster;
--- a/test/process/Faults.cpp
+++ b/test/process/Faults.cpp
@@ -4,6 +4,8 @@
 
 using namespace bilberryfield;
 
+TestSuite(Faults, .fini = Process::KillAll);
+
 Test(Faults, AnAgentThatRestartsRunsNothingTwice)
 {
   ReadyCluster cluster;
--- a/test/process/GracefulShutdown.cpp
+++ b/test/process/GracefulShutdown.cpp
@@ -4,6 +4,8 @@
 
 using namespace bilberryfield;
 
+TestSuite(GracefulShutdown, .fini = Process::KillAll);
+
 Test(GracefulShutdown, OfABalancerCutsNoRequest)
 {
   ReadyCluster cluster;
--- a/test/process/Joining.cpp
+++ b/test/process/Joining.cpp
@@ -2,6 +2,8 @@
 
 using namespace bilberryfield;
 
+TestSuite(Joining, .fini = Process::KillAll);
+
 Test(Joining, OfABalancerRefusesNoRequest)
 {
   ReadyCluster cluster;
--- a/test/process/WholePath.cpp
+++ b/test/process/WholePath.cpp
@@ -2,6 +2,8 @@
 
 using namespace bilberryfield;
 
+TestSuite(WholePath, .fini = Process::KillAll);
+
 Test(WholePath, ServesTwoServicesWhileABalancerDiesAndAServerDrains)
 {
   cr_assert(sodium_init() >= 0);
