--- a/packages/decision/AdmissionQueue.cpp
+++ b/packages/decision/AdmissionQueue.cpp
@@ -176,7 +176,7 @@
 }
 
 std::optional<WorkItem>
-AdmissionQueue::StartNext(TimePoint /*aNow*/)
+AdmissionQueue::StartNext()
 {
   ClassQueue* queue = PickQueue();
   if (!queue) {
--- a/packages/decision/AdmissionQueue.h
+++ b/packages/decision/AdmissionQueue.h
@@ -52,7 +52,7 @@
     aPolicy.Offer(aNow, aItem)
     } -> std::same_as<std::optional<AdmissionRefusal>>;
   {
-    aPolicy.StartNext(aNow)
+    aPolicy.StartNext()
     } -> std::same_as<std::optional<WorkItem>>;
   {
     aPolicy.TakeHopeless(aNow)
@@ -96,7 +96,7 @@
   std::optional<AdmissionRefusal> Offer(TimePoint aNow, const WorkItem& aItem);
 
   /** Takes the request that starts next; nothing while no slot is free. */
-  std::optional<WorkItem> StartNext(TimePoint aNow);
+  std::optional<WorkItem> StartNext();
 
   /** Takes the queued requests that can no longer finish in time. */
   std::vector<WorkItem> TakeHopeless(TimePoint aNow);
--- a/packages/decision/AgentCore.cpp
+++ b/packages/decision/AgentCore.cpp
@@ -378,7 +378,7 @@
 void
 AgentCore::StartWaiting()
 {
-  while (auto item = m_queue.StartNext(m_now)) {
+  while (auto item = m_queue.StartNext()) {
     Work& work = m_works.at(item->m_id);
     work.m_isRunning = true;
     work.m_startedAt = m_now;
--- a/packages/decision/Error.h
+++ b/packages/decision/Error.h
@@ -20,22 +20,20 @@
   DecodeMessage,
   CallPlatform,
   Publish,
-  ApplyConfig,
   Listen,
-  Connect,
+  StartProgram,
   CallDaemon,
 };
 
-inline constexpr NameTable<Step, 10> kStepNames = { {
+inline constexpr NameTable<Step, 9> kStepNames = { {
   { Step::ReadSettings, "read-settings" },
   { Step::ReadServiceFile, "read-service-file" },
   { Step::OpenToken, "open-token" },
   { Step::DecodeMessage, "decode-message" },
   { Step::CallPlatform, "call-platform" },
   { Step::Publish, "publish" },
-  { Step::ApplyConfig, "apply-config" },
   { Step::Listen, "listen" },
-  { Step::Connect, "connect" },
+  { Step::StartProgram, "start-program" },
   { Step::CallDaemon, "call-daemon" },
 } };
 
--- a/packages/decision/Outcome.h
+++ b/packages/decision/Outcome.h
@@ -30,7 +30,6 @@
   BadToken,
   WrongServiceToken,
   FlowExpired,
-  FlowUnknown,
   BindFirst,
   FlowMoved,
   NoServer,
@@ -47,18 +46,16 @@
   LinkLost,
   ServerUnreachable,
   ServerFailed,
-  BodyTooLarge,
   CallerGone,
   Count,
 };
 
-inline constexpr NameTable<RefusalReason, 24> kRefusalNames = { {
+inline constexpr NameTable<RefusalReason, 22> kRefusalNames = { {
   { RefusalReason::None, "none" },
   { RefusalReason::UnknownService, "unknown-service" },
   { RefusalReason::BadToken, "bad-token" },
   { RefusalReason::WrongServiceToken, "wrong-service-token" },
   { RefusalReason::FlowExpired, "flow-expired" },
-  { RefusalReason::FlowUnknown, "flow-unknown" },
   { RefusalReason::BindFirst, "bind-first" },
   { RefusalReason::FlowMoved, "flow-moved" },
   { RefusalReason::NoServer, "no-server" },
@@ -75,7 +72,6 @@
   { RefusalReason::LinkLost, "link-lost" },
   { RefusalReason::ServerUnreachable, "server-unreachable" },
   { RefusalReason::ServerFailed, "server-failed" },
-  { RefusalReason::BodyTooLarge, "body-too-large" },
   { RefusalReason::CallerGone, "caller-gone" },
 } };
 
--- a/standins/Process.cpp
+++ b/standins/Process.cpp
@@ -87,7 +87,7 @@
     &pid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) {
-    return Failure(Step::Connect, aCommand.front(), "cannot be started");
+    return Failure(Step::StartProgram, aCommand.front(), "cannot be started");
   }
   RunningIds().insert(pid);
   return Process(pid, aLogPath);
--- a/test/FakeSystem.cpp
+++ b/test/FakeSystem.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds kDeadline{ 2000 };
 constexpr Milliseconds kDrainGrace{ 500 };
 constexpr Seconds kFlowLifetime{ 10 };
+// A link's number holds the balancer's start, the link's life, the balancer.
+constexpr uint64_t kLinkNumbers = 1000;
 const std::array<std::string, 2> kServices = { "catalogue", "images" };
 
 void
@@ -119,7 +121,8 @@
 {
   auto found = m_linkLife.find({ aBalancer, aAgent });
   uint64_t life = found == m_linkLife.end() ? 0 : found->second;
-  return ((m_balancerLife[aBalancer] * 1000) + life) * 1000 + aBalancer;
+  uint64_t start = m_balancerLife[aBalancer] * kLinkNumbers + life;
+  return start * kLinkNumbers + aBalancer;
 }
 
 void
@@ -318,7 +321,7 @@
     if (auto* start = std::get_if<StartWork>(&action)) {
       OnStart(aAgent, *start);
     } else if (auto* send = std::get_if<SendAnswer>(&action)) {
-      m_packets.push_back({ send->m_link % 1000,
+      m_packets.push_back({ send->m_link % kLinkNumbers,
                             send->m_link,
                             aAgent,
                             m_agentLife[aAgent],
