--- a/packages/decision/Journal.h
+++ b/packages/decision/Journal.h
@@ -26,6 +26,13 @@
   { JournalEvent::Refused, "refused" },
 } };
 
+/** The table of names of JournalEvent, found by the type. */
+constexpr const auto&
+NamesOf(JournalEvent)
+{
+  return kJournalEventNames;
+}
+
 /** One step of one request, in the order in which the agent decided it. */
 struct JournalRecord
 {
--- a/packages/decision/Member.h
+++ b/packages/decision/Member.h
@@ -20,6 +20,13 @@
   { Role::Agent, "agent" },
 } };
 
+/** The table of names of Role, found by the type. */
+constexpr const auto&
+NamesOf(Role)
+{
+  return kRoleNames;
+}
+
 /** State of a member; of two states at one revision the later one wins. */
 enum class MemberState : uint8_t
 {
@@ -36,6 +43,13 @@
   { MemberState::Left, "left" },
 } };
 
+/** The table of names of MemberState, found by the type. */
+constexpr const auto&
+NamesOf(MemberState)
+{
+  return kMemberStateNames;
+}
+
 /** A balancer that misses a member's heartbeats. */
 struct Accuser
 {
--- a/packages/decision/Messages.h
+++ b/packages/decision/Messages.h
@@ -48,6 +48,13 @@
   { ForwardMode::Adopt, "adopt" },
 } };
 
+/** The table of names of ForwardMode, found by the type. */
+constexpr const auto&
+NamesOf(ForwardMode)
+{
+  return kForwardModeNames;
+}
+
 /** The parts of an HTTP request that reach the backend server. */
 struct HttpRequest
 {
--- a/packages/decision/Outcome.h
+++ b/packages/decision/Outcome.h
@@ -22,6 +22,13 @@
   { Outcome::RanBefore, "ran-before" },
 } };
 
+/** The table of names of Outcome, found by the type. */
+constexpr const auto&
+NamesOf(Outcome)
+{
+  return kOutcomeNames;
+}
+
 /** Why a request was refused, or why its outcome is unknown. */
 enum class RefusalReason : uint8_t
 {
@@ -75,6 +82,13 @@
   { RefusalReason::CallerGone, "caller-gone" },
 } };
 
+/** The table of names of RefusalReason, found by the type. */
+constexpr const auto&
+NamesOf(RefusalReason)
+{
+  return kRefusalNames;
+}
+
 static_assert(kRefusalNames.size() ==
               static_cast<size_t>(RefusalReason::Count));
 
--- a/packages/peer/FieldCodec.h
+++ b/packages/peer/FieldCodec.h
@@ -88,7 +88,7 @@
   static void Decode(const nlohmann::json& aJson, Value& aValue)
   {
     if constexpr (std::is_enum_v<Value>) {
-      aValue = static_cast<Value>(aJson.get<uint8_t>());
+      DecodeEnum(aJson, aValue);
     } else if constexpr (std::is_same_v<Value, ServiceConfig>) {
       DecodeService(aJson, aValue);
     } else if constexpr (requires(FieldReader & aReader) {
@@ -111,6 +111,18 @@
   }
 
 private:
+  // A value without a name would later be used as an index.
+  template<typename Enum>
+  static void DecodeEnum(const nlohmann::json& aJson, Enum& aValue)
+  {
+    uint64_t number = aJson.get<uint64_t>();
+    if (number >= NamesOf(Enum{}).size()) {
+      throw nlohmann::json::other_error::create(
+        0, "unknown enumerator " + std::to_string(number), nullptr);
+    }
+    aValue = static_cast<Enum>(number);
+  }
+
   static void DecodeService(const nlohmann::json& aJson,
                             ServiceConfig& aService)
   {
