Give long work all slots of a server without short work

Seen: in the demo, covers on their own three servers waited 1.0 s at the median (p50 999.7 ms, 162 served), since the limit on long work held there too.

Cause: the limit did not ask whether there is short work to protect, and an agent's queue knew the classes of services that it does not serve. Ruled out: the link lanes and the servers themselves.

Change: an agent configures only the services that it serves; without a short class among them long work may hold every slot.

--- a/packages/decision/AdmissionQueue.cpp
+++ b/packages/decision/AdmissionQueue.cpp
@@ -53,6 +53,14 @@
 uint32_t
 AdmissionQueue::LongLimit() const
 {
+  // The limit protects short work; a server without any gives all its slots.
+  bool hasShort =
+    std::any_of(m_classes.begin(), m_classes.end(), [&](const auto& aItem) {
+      return !IsLong(aItem.second);
+    });
+  if (!hasShort) {
+    return m_options.m_slots;
+  }
   double limit = std::floor(m_options.m_slots * m_options.m_longShare);
   return std::max<uint32_t>(1, static_cast<uint32_t>(limit));
 }
--- a/packages/decision/AgentCore.cpp
+++ b/packages/decision/AgentCore.cpp
@@ -45,7 +45,7 @@
 {
   m_config = aChanged.m_config;
   for (const auto& [name, entry] : m_config->m_services) {
-    if (!entry.m_removed) {
+    if (ServedService(name)) {
       m_queue.Configure(entry.m_config);
     }
   }
