Compare labels without copying them for each request

An agent copied its labels into a member record for every forwarded request, only to call HasLabels. The function now takes the two lists of labels, which is all that it needs; behaviour is unchanged.

--- a/packages/decision/AgentCore.cpp
+++ b/packages/decision/AgentCore.cpp
@@ -81,9 +81,8 @@
   if (!service) {
     return nullptr;
   }
-  MemberRecord self;
-  self.m_labels = m_options.m_labels;
-  return HasLabels(self, service->m_labels) ? service : nullptr;
+  bool isServed = HasLabels(m_options.m_labels, service->m_labels);
+  return isServed ? service : nullptr;
 }
 
 void
--- a/packages/decision/Member.cpp
+++ b/packages/decision/Member.cpp
@@ -16,13 +16,13 @@
 }
 
 bool
-HasLabels(const MemberRecord& aRecord, const std::vector<std::string>& aLabels)
+HasLabels(const std::vector<std::string>& aAnnounced,
+          const std::vector<std::string>& aWanted)
 {
   return std::all_of(
-    aLabels.begin(), aLabels.end(), [&](const std::string& aLabel) {
-      return std::find(aRecord.m_labels.begin(),
-                       aRecord.m_labels.end(),
-                       aLabel) != aRecord.m_labels.end();
+    aWanted.begin(), aWanted.end(), [&](const std::string& aLabel) {
+      return std::find(aAnnounced.begin(), aAnnounced.end(), aLabel) !=
+             aAnnounced.end();
     });
 }
 
--- a/packages/decision/Member.h
+++ b/packages/decision/Member.h
@@ -108,9 +108,10 @@
 bool
 IsPresent(const MemberRecord& aRecord);
 
-/** True when the record lists every one of the labels. */
+/** True when every one of the wanted labels is among the announced ones. */
 bool
-HasLabels(const MemberRecord& aRecord, const std::vector<std::string>& aLabels);
+HasLabels(const std::vector<std::string>& aAnnounced,
+          const std::vector<std::string>& aWanted);
 
 /**
  * Joins two records of one member. The join is commutative, associative and
--- a/packages/decision/ServerDirectory.cpp
+++ b/packages/decision/ServerDirectory.cpp
@@ -37,7 +37,7 @@
     return trusted;
   }
   for (const MemberRecord* member : labelled->second) {
-    if (HasLabels(*member, aService.m_labels)) {
+    if (HasLabels(member->m_labels, aService.m_labels)) {
       ServerList& list = member->m_accusers.empty() ? trusted : accused;
       list.push_back({ member->m_id,
                        member->m_address,
