--- a/packages/control/Bilberryd.cpp
+++ b/packages/control/Bilberryd.cpp
@@ -1,4 +1,6 @@
+#include "AgentDaemon.h"
 #include "AgentNode.h"
+#include "BalancerDaemon.h"
 #include "BalancerNode.h"
 #include "StopSignals.h"
 
@@ -8,6 +10,7 @@
 #include <fstream>
 #include <iostream>
 #include <sodium.h>
+#include <thread>
 
 ABSL_FLAG(std::string,
           settings,
@@ -65,6 +68,57 @@
   return kSuccess;
 }
 
+template<typename Daemon>
+int
+RunDaemon(const FlowSettings& aSettings)
+{
+  sigset_t signals = BlockStopSignals();
+  Daemon daemon(aSettings);
+  Result<void> started = daemon.Start();
+  if (!started) {
+    std::cerr << "bilberryd: " << started.error() << "\n";
+    return kStartFailed;
+  }
+  Log(LogLevel::Info,
+      "started",
+      { { "role", NameOf(kFlowRoleNames, aSettings.m_role) } });
+  std::thread([&daemon, signals] {
+    WaitForStop(signals);
+    daemon.BeginShutdown();
+  }).detach();
+  daemon.Run();
+  Log(LogLevel::Info, "stopped");
+  // Threads of the HTTP client may still wait for the store.
+  std::_Exit(kSuccess);
+}
+
+void
+PrintMistakes(const std::string& aPath,
+              const std::vector<UserMistake>& aMistakes)
+{
+  for (const UserMistake& mistake : aMistakes) {
+    std::cerr << aPath << ": " << mistake << "\n";
+  }
+}
+
+int
+RunPacketPath(const std::string& aPath, const nlohmann::json& aDocument)
+{
+  FlowSettingsParse settings = ParseFlowSettings(aDocument);
+  if (!settings) {
+    PrintMistakes(aPath, settings.error());
+    return kBadSettings;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << aPath << ": no mistakes\n";
+    return kSuccess;
+  }
+  StartLog(settings->m_logLevel, settings->m_id);
+  return settings->m_role == FlowRole::Agent
+           ? RunDaemon<AgentDaemon>(*settings)
+           : RunDaemon<BalancerDaemon>(*settings);
+}
+
 } // namespace
 
 int
@@ -80,11 +134,12 @@
     std::cerr << "bilberryd: " << document.error() << "\n";
     return kBadSettings;
   }
+  if (IsForPacketPath(*document)) {
+    return RunPacketPath(path, *document);
+  }
   SettingsParse settings = ParseSettings(*document);
   if (!settings) {
-    for (const UserMistake& mistake : settings.error()) {
-      std::cerr << path << ": " << mistake << "\n";
-    }
+    PrintMistakes(path, settings.error());
     return kBadSettings;
   }
   if (absl::GetFlag(FLAGS_check)) {
--- /dev/null
+++ b/packages/flow/AgentList.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "FlowMessages.h"
+#include "Placement.h"
+
+#include <map>
+#include <vector>
+
+namespace bilberryfield {
+
+/** An agent as its entry in the platform's store describes it. */
+struct AgentEntry
+{
+  std::string m_service;
+  std::string m_domain;
+  /** Where the agent takes packets for its server. */
+  Endpoint m_packets;
+
+  bool operator==(const AgentEntry&) const = default;
+};
+
+/** An agent as one balancer sees it. */
+struct KnownAgent
+{
+  AgentEntry m_entry;
+  uint32_t m_serviceTag = 0;
+  bool m_isListed = false;
+  TimePoint m_knownSince;
+  /** Time of the last report; nothing before the first one. */
+  std::optional<TimePoint> m_heardAt;
+  ServerCondition m_condition = ServerCondition::Unknown;
+  uint32_t m_busy = 0;
+  uint32_t m_slots = 1;
+  uint32_t m_answerUs = 0;
+};
+
+/** What a balancer knows of all agents: the store's list and their reports. */
+class AgentList
+{
+public:
+  explicit AgentList(std::string aOwnDomain)
+    : m_ownDomain(std::move(aOwnDomain))
+  {
+  }
+
+  /** Takes a whole list of the store at a revision; older ones are ignored. */
+  void SetListed(TimePoint aNow,
+                 uint64_t aRevision,
+                 const std::vector<AgentEntry>& aEntries);
+
+  /** True once a list was taken. */
+  bool IsLoaded() const { return m_revision > 0; }
+  uint64_t Revision() const { return m_revision; }
+
+  void OnReport(TimePoint aNow, uint32_t aAgentIp, const ServerLoad& aReport);
+
+  /** An agent handed an opening packet back. */
+  void OnHandBack(uint32_t aAgentIp, HandBack aReason, uint32_t aBusy);
+
+  /** A new flow was sent to an agent. */
+  void OnPlaced(uint32_t aAgentIp);
+
+  /** This process stood still; silence in that time tells nothing. */
+  void OnPause(Duration aPause);
+
+  /** Forgets agents that are neither listed nor heard. */
+  void OnTick(TimePoint aNow);
+
+  /** Servers that may get a new flow of a service. */
+  std::vector<PlacementCandidate> Candidates(
+    TimePoint aNow,
+    const std::string& aService,
+    std::span<const uint32_t> aTried) const;
+
+  /** Agents that a flow of a service may be at, whatever their condition. */
+  std::vector<uint32_t> AgentsOf(const std::string& aService) const;
+
+  const KnownAgent* Find(uint32_t aAgentIp) const;
+  const std::map<uint32_t, KnownAgent>& All() const { return m_agents; }
+
+  /** True while some agent is heard. */
+  bool HearsAny(TimePoint aNow) const;
+
+  /** True while this agent's reports come in. */
+  bool Hears(TimePoint aNow, const KnownAgent& aAgent) const;
+
+private:
+  std::string m_ownDomain;
+  uint64_t m_revision = 0;
+  std::map<uint32_t, KnownAgent> m_agents;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowAgent.cpp
@@ -0,0 +1,347 @@
+#include "FlowAgent.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+/** Silence after which a balancer gets no more reports. */
+constexpr Duration kSubscriptionLife = Seconds(4);
+/** Time between two reports when nothing has changed. */
+constexpr Duration kReportEvery = Milliseconds(100);
+/** Time in which a server that works answers an opening packet. */
+constexpr Duration kOpeningAnswerLimit = Milliseconds(60);
+/** Time after which a busy flow no longer counts as load. */
+constexpr Duration kBusyLimit = Seconds(10);
+/** As kBusyLimit, for a flow whose caller sent no request. */
+constexpr Duration kOpeningBusyLimit = Milliseconds(1500);
+/** Bytes that an acknowledgement may be ahead of the server's first byte. */
+constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
+/** Weight of a new sample in the mean answer time. */
+constexpr double kAnswerTimeGain = 0.05;
+
+bool
+IsBusyPhase(int aPhase)
+{
+  return aPhase <= 1;
+}
+
+} // namespace
+
+FlowAgent::FlowAgent(FlowAgentOptions aOptions, TimePoint aStart)
+  : m_options(std::move(aOptions))
+  , m_serviceTag(ServiceTag(m_options.m_service))
+  , m_start(aStart)
+  , m_server(m_options.m_heartbeatEvery)
+  , m_flows(m_options.m_maxFlows)
+  , m_nextPeriod(aStart + m_options.m_maxFlowAge)
+{
+}
+
+ServerCondition
+FlowAgent::Condition(TimePoint aNow) const
+{
+  ServerCondition condition = m_server.Condition(aNow);
+  if (m_isStopping && condition == ServerCondition::Ready) {
+    return ServerCondition::Draining;
+  }
+  return condition;
+}
+
+TaggedLoad
+FlowAgent::Load() const
+{
+  uint32_t slots = m_server.Latest() ? m_server.Latest()->m_slots : 1;
+  return { static_cast<uint16_t>(std::min<uint32_t>(m_busy, UINT16_MAX)),
+           static_cast<uint16_t>(std::min<uint32_t>(slots, UINT16_MAX)) };
+}
+
+AgentVerdict
+FlowAgent::GiveBack(HandBack aReason, uint32_t aBalancerIp) const
+{
+  return { FlowAgentAction::HandBack, aReason, aBalancerIp };
+}
+
+// An agent that started after its server does not know the flows that were
+// opened before.
+bool
+FlowAgent::MayMissFlows(TimePoint aNow) const
+{
+  return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
+}
+
+bool
+FlowAgent::IsOtherServers(const Flow& aFlow, uint32_t aAck)
+{
+  return aFlow.m_hasServerSeq && aAck - aFlow.m_serverSeq - 1 > kMaxAnswerBytes;
+}
+
+AgentVerdict
+FlowAgent::OnBalancerPacket(TimePoint aNow,
+                            const PacketHeader& aHeader,
+                            PacketBytes aBytes,
+                            uint32_t aBalancerIp)
+{
+  if (aHeader.m_tag != m_serviceTag) {
+    return GiveBack(HandBack::WrongService, aBalancerIp);
+  }
+  if (aHeader.IsOpening()) {
+    return OnOpening(aNow, aHeader, aBytes, aBalancerIp);
+  }
+  FlowKey key = aHeader.FlowFromCaller();
+  Flow* flow = m_flows.Find(key);
+  if (!flow) {
+    return MayMissFlows(aNow) ? AgentVerdict{ FlowAgentAction::Deliver }
+                              : GiveBack(HandBack::NotOwner, aBalancerIp);
+  }
+  if (IsOtherServers(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
+    return GiveBack(HandBack::NotOwner, aBalancerIp);
+  }
+  if (aHeader.Has(kReset) || aHeader.Has(kFin)) {
+    SetPhase(aNow, key, *flow, Phase::Closed);
+  } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
+    SetPhase(aNow, key, *flow, Phase::Requested);
+  }
+  return { FlowAgentAction::Deliver };
+}
+
+AgentVerdict
+FlowAgent::OnOpening(TimePoint aNow,
+                     const PacketHeader& aHeader,
+                     PacketBytes aBytes,
+                     uint32_t aBalancerIp)
+{
+  FlowKey key = aHeader.FlowFromCaller();
+  Flow* known = m_flows.Find(key);
+  if (known && known->m_phase != Phase::Closed) {
+    return { FlowAgentAction::Deliver };
+  }
+  ServerCondition condition = Condition(aNow);
+  if (condition == ServerCondition::Silent) {
+    return GiveBack(HandBack::Silent, aBalancerIp);
+  }
+  if (condition != ServerCondition::Ready) {
+    return GiveBack(HandBack::NotAccepting, aBalancerIp);
+  }
+  bool mayQueue = aHeader.m_mark == static_cast<uint32_t>(OpenMode::Queue);
+  if (!mayQueue && m_busy >= Load().m_slots) {
+    return GiveBack(HandBack::Full, aBalancerIp);
+  }
+  Flow& flow = m_flows.Insert(key, {});
+  flow.m_busySince = aNow;
+  m_busy += 1;
+  m_busyEntries.push_back({ aNow, key });
+  m_openings.push_back(
+    { aNow, { key, aBalancerIp, { aBytes.begin(), aBytes.end() } } });
+  return { FlowAgentAction::Deliver };
+}
+
+AgentVerdict
+FlowAgent::OnServerPacket(TimePoint aNow, const PacketHeader& aHeader)
+{
+  if (aHeader.Has(kBounced)) {
+    return OnBounced(aHeader);
+  }
+  m_server.OnPacket(aNow);
+  FlowKey key = aHeader.FlowFromServer();
+  Flow* flow = m_flows.Find(key);
+  if (!flow) {
+    // The server holds the flow from before this agent's start.
+    flow = &m_flows.Insert(key, { Phase::Answering, false, 0, {} });
+  }
+  if (aHeader.Has(kSyn)) {
+    flow->m_hasServerSeq = true;
+    flow->m_serverSeq = aHeader.m_seq;
+  }
+  if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
+    SetPhase(aNow, key, *flow, Phase::Closed);
+  } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
+    SetPhase(aNow, key, *flow, Phase::Answering);
+  }
+  return { FlowAgentAction::ToCaller };
+}
+
+AgentVerdict
+FlowAgent::OnBounced(const PacketHeader& aHeader)
+{
+  FlowKey key = aHeader.FlowFromCaller();
+  uint32_t balancerIp = aHeader.m_tag;
+  Flow* flow = m_flows.Find(key);
+  if (!flow) {
+    return GiveBack(HandBack::Bounced, balancerIp);
+  }
+  // A server answers for the flows that it ended, so one that it sends back
+  // was lost with an earlier incarnation.
+  bool wasOpenHere =
+    flow->m_hasServerSeq && !IsOtherServers(*flow, aHeader.m_ack);
+  SetPhase(TimePoint{}, key, *flow, Phase::Closed);
+  m_flows.Erase(key);
+  if (!aHeader.IsOpening() && wasOpenHere && !aHeader.Has(kReset)) {
+    return { FlowAgentAction::Reset };
+  }
+  return GiveBack(HandBack::Bounced, balancerIp);
+}
+
+void
+FlowAgent::SetPhase(TimePoint aNow,
+                    const FlowKey& aKey,
+                    Flow& aFlow,
+                    Phase aPhase)
+{
+  bool wasBusy = IsBusyPhase(static_cast<int>(aFlow.m_phase));
+  bool isBusy = IsBusyPhase(static_cast<int>(aPhase));
+  aFlow.m_phase = aPhase;
+  if (isBusy && !wasBusy) {
+    aFlow.m_busySince = aNow;
+    m_busy += 1;
+    m_busyEntries.push_back({ aNow, aKey });
+  }
+  if (!isBusy && wasBusy) {
+    m_busy -= 1;
+    if (aPhase == Phase::Answering) {
+      auto sample = static_cast<double>((aNow - aFlow.m_busySince).count());
+      m_answerUs = m_answerUs == 0
+                     ? sample
+                     : m_answerUs + kAnswerTimeGain * (sample - m_answerUs);
+    }
+  }
+}
+
+HeartbeatEnd
+FlowAgent::OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat)
+{
+  HeartbeatEnd end = m_server.OnHeartbeat(aNow, aHeartbeat);
+  if (end == HeartbeatEnd::NewIncarnation) {
+    m_sawIncarnationStart = true;
+  }
+  return end;
+}
+
+void
+FlowAgent::OnSubscribe(TimePoint aNow,
+                       uint32_t aBalancerIp,
+                       const Subscribe& aMessage)
+{
+  Subscriber& subscriber = m_subscribers[aBalancerIp];
+  subscriber.m_heardAt = aNow;
+  subscriber.m_domain = aMessage.m_domain;
+  m_isMissedInStore = m_isMissedInStore || !aMessage.m_isListed;
+  if (aMessage.m_routes.m_version >= m_routes.m_version) {
+    m_routes = aMessage.m_routes;
+  }
+  if (aMessage.m_agents.m_version >= m_agents.m_version) {
+    m_agents = aMessage.m_agents;
+  }
+}
+
+FlowAnswer
+FlowAgent::OnQuery(TimePoint aNow, const FlowQuery& aQuery)
+{
+  FlowAnswer answer{ aQuery.m_flow, FlowOwnership::No };
+  if (Flow* flow = m_flows.Find(aQuery.m_flow)) {
+    if (!IsOtherServers(*flow, aQuery.m_ack)) {
+      answer.m_ownership = FlowOwnership::Yes;
+    }
+  } else if (MayMissFlows(aNow)) {
+    answer.m_ownership = FlowOwnership::Possible;
+  }
+  return answer;
+}
+
+ServerLoad
+FlowAgent::MakeReport(TimePoint aNow) const
+{
+  ServerLoad report;
+  report.m_service = m_options.m_service;
+  report.m_domain = m_options.m_domain;
+  report.m_packets = m_options.m_packets;
+  report.m_condition = Condition(aNow);
+  report.m_busy = m_busy;
+  report.m_slots = Load().m_slots;
+  report.m_answerUs = static_cast<uint32_t>(m_answerUs);
+  report.m_routes = m_routes;
+  report.m_agents = m_agents;
+  return report;
+}
+
+// Balancers of the same failure domain place most of the flows here, so they
+// hear of each change; the others hear at a steady pace.
+bool
+FlowAgent::IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const
+{
+  if (aNow - aSubscriber.m_reportedAt >= kReportEvery ||
+      aSubscriber.m_reportedCondition != Condition(aNow)) {
+    return true;
+  }
+  return aSubscriber.m_domain == m_options.m_domain &&
+         aSubscriber.m_reportedBusy != m_busy;
+}
+
+std::vector<ReportTo>
+FlowAgent::OnTick(TimePoint aNow)
+{
+  EndStuckFlows(aNow);
+  if (aNow >= m_nextPeriod) {
+    m_nextPeriod = aNow + m_options.m_maxFlowAge;
+    m_flows.EndPeriod();
+  }
+  std::erase_if(m_subscribers, [&](const auto& aItem) {
+    return aNow - aItem.second.m_heardAt > kSubscriptionLife;
+  });
+  std::vector<ReportTo> reports;
+  for (auto& [ip, subscriber] : m_subscribers) {
+    if (!IsReportDue(aNow, subscriber)) {
+      continue;
+    }
+    subscriber.m_reportedAt = aNow;
+    subscriber.m_reportedBusy = m_busy;
+    subscriber.m_reportedCondition = Condition(aNow);
+    reports.push_back({ ip, MakeReport(aNow) });
+  }
+  return reports;
+}
+
+// Callers that vanish leave flows behind that look busy.
+void
+FlowAgent::EndStuckFlows(TimePoint aNow)
+{
+  while (!m_busyEntries.empty() &&
+         aNow - m_busyEntries.front().m_since > kOpeningBusyLimit) {
+    BusyEntry entry = m_busyEntries.front();
+    m_busyEntries.pop_front();
+    Flow* flow = m_flows.Find(entry.m_flow);
+    if (!flow || flow->m_busySince != entry.m_since ||
+        !IsBusyPhase(static_cast<int>(flow->m_phase))) {
+      continue;
+    }
+    if (flow->m_phase == Phase::Opening || aNow - entry.m_since > kBusyLimit) {
+      SetPhase(aNow, entry.m_flow, *flow, Phase::Closed);
+      continue;
+    }
+    m_busyEntries.push_back(entry);
+    break;
+  }
+}
+
+std::vector<UnansweredOpening>
+FlowAgent::TakeUnanswered(TimePoint aNow)
+{
+  std::vector<UnansweredOpening> unanswered;
+  while (!m_openings.empty() &&
+         aNow - m_openings.front().m_at > kOpeningAnswerLimit) {
+    UnansweredOpening opening = m_openings.front().m_opening;
+    m_openings.pop_front();
+    Flow* flow = m_flows.Find(opening.m_flow);
+    if (!flow || flow->m_phase != Phase::Opening || flow->m_hasServerSeq) {
+      continue;
+    }
+    SetPhase(aNow, opening.m_flow, *flow, Phase::Closed);
+    m_flows.Erase(opening.m_flow);
+    m_server.OnNoAnswer();
+    unanswered.push_back(opening);
+  }
+  return unanswered;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowAgent.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "GenerationMap.h"
+#include "ServerTracker.h"
+
+#include <absl/container/inlined_vector.h>
+#include <deque>
+#include <map>
+
+namespace bilberryfield {
+
+/** What the agent does with a packet. */
+enum class FlowAgentAction : uint8_t
+{
+  Deliver,  /**< To the server, with the balancer's address as its tag. */
+  ToCaller, /**< The server's packet, unchanged. */
+  HandBack, /**< To the balancer, with a reason and the server's load. */
+  Reset,    /**< Tell the caller that the flow is lost. */
+  Drop,
+};
+
+/** An agent's decision on one packet. */
+struct AgentVerdict
+{
+  FlowAgentAction m_action = FlowAgentAction::Drop;
+  HandBack m_reason = HandBack::None;
+  /** Balancer of a packet that is handed back. */
+  uint32_t m_balancerIp = 0;
+};
+
+/** Settings of the agent's decisions. */
+struct FlowAgentOptions
+{
+  std::string m_service;
+  std::string m_domain;
+  /** Where this agent takes packets for its server. */
+  Endpoint m_packets;
+  Duration m_heartbeatEvery = Seconds(1);
+  /** Longest life of a flow. */
+  Duration m_maxFlowAge = Seconds(60);
+  size_t m_maxFlows = 100'000;
+};
+
+/** Load in a packet's tag: busy flows and slots. */
+struct TaggedLoad
+{
+  uint16_t m_busy = 0;
+  uint16_t m_slots = 1;
+
+  uint32_t Pack() const
+  {
+    return (static_cast<uint32_t>(m_busy) << 16U) | m_slots;
+  }
+  static TaggedLoad Unpack(uint32_t aTag)
+  {
+    return { static_cast<uint16_t>(aTag >> 16U),
+             static_cast<uint16_t>(aTag & 0xFFFFU) };
+  }
+};
+
+/** A caller's opening packet that the server has not answered. */
+struct UnansweredOpening
+{
+  FlowKey m_flow;
+  uint32_t m_balancerIp = 0;
+  /** The packet as the balancer sent it. */
+  absl::InlinedVector<uint8_t, 40> m_bytes;
+};
+
+/** A report for one balancer. */
+struct ReportTo
+{
+  uint32_t m_balancerIp = 0;
+  ServerLoad m_report;
+};
+
+/**
+ * The decisions of the agent beside one backend server: which packets reach
+ * the server, and what the balancers learn of its load.
+ */
+class FlowAgent
+{
+public:
+  FlowAgent(FlowAgentOptions aOptions, TimePoint aStart);
+
+  /** A packet that a balancer passed on. */
+  AgentVerdict OnBalancerPacket(TimePoint aNow,
+                                const PacketHeader& aHeader,
+                                PacketBytes aBytes,
+                                uint32_t aBalancerIp);
+
+  /** A packet that the server sent, or sent back. */
+  AgentVerdict OnServerPacket(TimePoint aNow, const PacketHeader& aHeader);
+
+  HeartbeatEnd OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat);
+  void OnLeave(const std::string& aServerId) { m_server.OnLeave(aServerId); }
+
+  /** A balancer asks for reports. */
+  void OnSubscribe(TimePoint aNow,
+                   uint32_t aBalancerIp,
+                   const Subscribe& aMessage);
+
+  FlowAnswer OnQuery(TimePoint aNow, const FlowQuery& aQuery);
+
+  /** Takes no new flows from now on; the process is about to end. */
+  void BeginShutdown() { m_isStopping = true; }
+
+  /** Reports that are due; to be called every kTick. */
+  std::vector<ReportTo> OnTick(TimePoint aNow);
+
+  /** Opening packets that the server left unanswered; each is given once. */
+  std::vector<UnansweredOpening> TakeUnanswered(TimePoint aNow);
+
+  /** Condition for new flows. */
+  ServerCondition Condition(TimePoint aNow) const;
+
+  TaggedLoad Load() const;
+  const ServerTracker& Server() const { return m_server; }
+
+  /** True when a balancer that reads the store misses this agent there. */
+  bool IsMissedInStore() const { return m_isMissedInStore; }
+  void ClearMissedInStore() { m_isMissedInStore = false; }
+
+  size_t FlowCount() const { return m_flows.Size(); }
+  uint32_t BusyFlows() const { return m_busy; }
+
+  static constexpr Duration kTick = Milliseconds(20);
+
+private:
+  enum class Phase : uint8_t
+  {
+    Opening,   // The opening packet is at the server.
+    Requested, // A request waits or runs.
+    Answering, // The server has begun to answer.
+    Closed,    // Either end has closed.
+  };
+
+  struct Flow
+  {
+    Phase m_phase = Phase::Opening;
+    bool m_hasServerSeq = false;
+    uint32_t m_serverSeq = 0;
+    TimePoint m_busySince;
+  };
+
+  struct Subscriber
+  {
+    TimePoint m_heardAt;
+    TimePoint m_reportedAt;
+    std::string m_domain;
+    uint32_t m_reportedBusy = 0;
+    ServerCondition m_reportedCondition = ServerCondition::Unknown;
+  };
+
+  struct BusyEntry
+  {
+    TimePoint m_since;
+    FlowKey m_flow;
+  };
+
+  struct OpeningEntry
+  {
+    TimePoint m_at;
+    UnansweredOpening m_opening;
+  };
+
+  AgentVerdict OnOpening(TimePoint aNow,
+                         const PacketHeader& aHeader,
+                         PacketBytes aBytes,
+                         uint32_t aBalancerIp);
+  AgentVerdict OnBounced(const PacketHeader& aHeader);
+  AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp) const;
+  bool MayMissFlows(TimePoint aNow) const;
+  static bool IsOtherServers(const Flow& aFlow, uint32_t aAck);
+  void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
+  void EndStuckFlows(TimePoint aNow);
+  ServerLoad MakeReport(TimePoint aNow) const;
+  bool IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const;
+
+  FlowAgentOptions m_options;
+  uint32_t m_serviceTag;
+  TimePoint m_start;
+  ServerTracker m_server;
+  GenerationMap<FlowKey, Flow> m_flows;
+  TimePoint m_nextPeriod;
+  uint32_t m_busy = 0;
+  double m_answerUs = 0;
+  std::deque<BusyEntry> m_busyEntries;
+  std::deque<OpeningEntry> m_openings;
+  std::map<uint32_t, Subscriber> m_subscribers;
+  VersionHolder m_routes;
+  VersionHolder m_agents;
+  bool m_sawIncarnationStart = false;
+  bool m_isStopping = false;
+  bool m_isMissedInStore = false;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowBalancer.cpp
@@ -0,0 +1,368 @@
+#include "FlowBalancer.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr size_t kMaxFlows = 500'000;
+/** Flows that may be searched for at a time. */
+constexpr size_t kMaxSearches = 2'000;
+/** Packets held for one flow that is searched for. */
+constexpr size_t kMaxHeld = 4;
+/** Time after which a search goes on without the missing answers. */
+constexpr Duration kAnswerLimit = Milliseconds(30);
+/** Hand-backs after which a new flow waits for a slot. */
+constexpr uint8_t kTriesIfFree = 2;
+/** A longer gap between two ticks is a pause of this process. */
+constexpr Duration kPauseLimit = Milliseconds(150);
+/** Time without any report after which this balancer is cut off. */
+constexpr Duration kCutOffLimit = Milliseconds(700);
+
+} // namespace
+
+FlowBalancer::FlowBalancer(std::string aDomain, uint64_t aSeed)
+  : m_agents(std::move(aDomain))
+  , m_random(aSeed)
+  , m_flows(kMaxFlows)
+{
+}
+
+bool
+FlowBalancer::SetRoutes(RouteTablePointer aRoutes)
+{
+  if (aRoutes->m_version <= RoutesVersion()) {
+    return false;
+  }
+  if (m_routes) {
+    for (const auto& [address, route] : m_routes->m_routes) {
+      const Route* next = aRoutes->Find(address);
+      if (!next || next->m_targets == route.m_targets) {
+        continue;
+      }
+      for (const RouteTarget& target : route.m_targets) {
+        auto& earlier = m_earlierServices[address];
+        if (std::find(earlier.begin(), earlier.end(), target.m_service) ==
+            earlier.end()) {
+          earlier.push_back(target.m_service);
+        }
+      }
+    }
+  }
+  m_routes = std::move(aRoutes);
+  return true;
+}
+
+void
+FlowBalancer::Add(FlowBalancerAction aAction,
+                  FlowReason aReason,
+                  const FlowKey& aFlow,
+                  uint32_t aNumber)
+{
+  m_counts[static_cast<size_t>(aReason)] += 1;
+  BalancerStep step;
+  step.m_action = aAction;
+  step.m_reason = aReason;
+  step.m_flow = aFlow;
+  step.m_number = aNumber;
+  m_steps.push_back(std::move(step));
+}
+
+void
+FlowBalancer::Forward(const FlowKey& aFlow,
+                      uint32_t aAgentIp,
+                      FlowReason aReason)
+{
+  const KnownAgent* agent = m_agents.Find(aAgentIp);
+  if (!agent) {
+    Add(FlowBalancerAction::Drop, FlowReason::Unowned, aFlow);
+    return;
+  }
+  Add(FlowBalancerAction::Forward, aReason, aFlow);
+  BalancerStep& step = m_steps.back();
+  step.m_agentIp = aAgentIp;
+  step.m_packets = agent->m_entry.m_packets;
+  step.m_tag = agent->m_serviceTag;
+}
+
+const std::vector<BalancerStep>&
+FlowBalancer::OnCallerPacket(TimePoint aNow,
+                             const PacketHeader& aHeader,
+                             PacketBytes aBytes)
+{
+  m_steps.clear();
+  FlowKey key = aHeader.FlowFromCaller();
+  bool isAnswer = aHeader.Has(kSyn) && aHeader.Has(kAck);
+  if (isAnswer || aHeader.Has(kBounced)) {
+    Add(FlowBalancerAction::Drop, FlowReason::Malformed, key);
+    return m_steps;
+  }
+  if (!m_routes) {
+    Add(FlowBalancerAction::Drop, FlowReason::NotYetLoaded, key);
+    return m_steps;
+  }
+  const Route* route = m_routes->Find(key.m_service);
+  if (!route) {
+    // A reset that answers a reset could go on for ever.
+    Add(aHeader.Has(kReset) ? FlowBalancerAction::Drop
+                            : FlowBalancerAction::Reset,
+        FlowReason::NoRoute,
+        key,
+        aHeader.m_ack);
+    return m_steps;
+  }
+  Flow* flow = m_flows.Find(key);
+  if (!aHeader.IsOpening()) {
+    if (flow && m_agents.Find(flow->m_agentIp)) {
+      Forward(key, flow->m_agentIp, FlowReason::Known);
+    } else {
+      SearchFor(aNow, aHeader, aBytes, *route, 0);
+    }
+    return m_steps;
+  }
+  if (flow && flow->m_sawOpening && flow->m_openSeq == aHeader.m_seq) {
+    const KnownAgent* agent = m_agents.Find(flow->m_agentIp);
+    if (agent && m_agents.Hears(aNow, *agent)) {
+      // A copy: the first one, or its answer, was lost on the way.
+      Forward(key, flow->m_agentIp, FlowReason::Known);
+      m_steps.back().m_mark = static_cast<uint32_t>(OpenMode::Queue);
+      return m_steps;
+    }
+  }
+  m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
+  PlaceOpening(aNow, aHeader, *route, false);
+  return m_steps;
+}
+
+void
+FlowBalancer::PlaceOpening(TimePoint aNow,
+                           const PacketHeader& aHeader,
+                           const Route& aRoute,
+                           bool aIsAgain)
+{
+  FlowKey key = aHeader.FlowFromCaller();
+  Flow* flow = m_flows.Find(key);
+  const std::string& service = ChooseTarget(aRoute, key);
+  std::vector<PlacementCandidate> candidates = m_agents.Candidates(
+    aNow, service, { flow->m_tried.data(), flow->m_tryCount });
+  std::optional<PlacementChoice> choice = ChoosePlacement(candidates, m_random);
+  if (!choice && flow->m_tryCount > 0 && flow->m_tryCount < kMaxTries) {
+    // All have been tried; those that were only full may let it wait.
+    candidates = m_agents.Candidates(aNow, service, {});
+    choice = ChoosePlacement(candidates, m_random);
+  }
+  if (!choice) {
+    m_flows.Erase(key);
+    bool isKnown = m_agents.IsLoaded();
+    Add(isKnown ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
+        isKnown ? FlowReason::NoServer : FlowReason::NotYetLoaded,
+        key,
+        aHeader.m_ack);
+    return;
+  }
+  uint32_t agentIp = candidates[choice->m_index].m_agentIp;
+  flow->m_agentIp = agentIp;
+  bool mayQueue =
+    choice->m_mode == OpenMode::Queue || flow->m_tryCount >= kTriesIfFree;
+  m_agents.OnPlaced(agentIp);
+  Forward(
+    key, agentIp, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
+  m_steps.back().m_mark =
+    static_cast<uint32_t>(mayQueue ? OpenMode::Queue : OpenMode::IfFree);
+}
+
+const std::vector<BalancerStep>&
+FlowBalancer::OnHandedBack(TimePoint aNow,
+                           const PacketHeader& aHeader,
+                           PacketBytes aBytes,
+                           uint32_t aAgentIp,
+                           HandBack aReason)
+{
+  m_steps.clear();
+  FlowKey key = aHeader.FlowFromCaller();
+  const Route* route = m_routes ? m_routes->Find(key.m_service) : nullptr;
+  if (!route) {
+    Add(FlowBalancerAction::Reset, FlowReason::NoRoute, key, aHeader.m_ack);
+    return m_steps;
+  }
+  Flow* flow = m_flows.Find(key);
+  if (!aHeader.IsOpening()) {
+    if (flow && flow->m_agentIp == aAgentIp) {
+      flow->m_agentIp = 0;
+    }
+    SearchFor(aNow, aHeader, aBytes, *route, aAgentIp);
+    return m_steps;
+  }
+  m_agents.OnHandBack(
+    aAgentIp, aReason, static_cast<uint32_t>(aHeader.m_tag >> 16U));
+  if (!flow || flow->m_openSeq != aHeader.m_seq) {
+    m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
+    flow = m_flows.Find(key);
+  }
+  if (flow->m_agentIp != 0 && flow->m_agentIp != aAgentIp) {
+    // A later copy has been placed elsewhere already.
+    Add(FlowBalancerAction::Drop, FlowReason::Known, key);
+    return m_steps;
+  }
+  if (flow->m_tryCount >= kMaxTries) {
+    m_flows.Erase(key);
+    Add(FlowBalancerAction::Reset, FlowReason::NoServer, key, aHeader.m_ack);
+    return m_steps;
+  }
+  flow->m_tried[flow->m_tryCount++] = aAgentIp;
+  PlaceOpening(aNow, aHeader, *route, true);
+  return m_steps;
+}
+
+std::vector<uint32_t>
+FlowBalancer::AgentsToAsk(const Route& aRoute, uint32_t aExceptIp) const
+{
+  std::vector<uint32_t> agents;
+  auto add = [&](const std::string& aService) {
+    for (uint32_t ip : m_agents.AgentsOf(aService)) {
+      if (ip != aExceptIp &&
+          std::find(agents.begin(), agents.end(), ip) == agents.end()) {
+        agents.push_back(ip);
+      }
+    }
+  };
+  for (const RouteTarget& target : aRoute.m_targets) {
+    add(target.m_service);
+  }
+  auto earlier = m_earlierServices.find(aRoute.m_address);
+  if (earlier != m_earlierServices.end()) {
+    for (const std::string& service : earlier->second) {
+      add(service);
+    }
+  }
+  return agents;
+}
+
+void
+FlowBalancer::SearchFor(TimePoint aNow,
+                        const PacketHeader& aHeader,
+                        PacketBytes aBytes,
+                        const Route& aRoute,
+                        uint32_t aExceptIp)
+{
+  FlowKey key = aHeader.FlowFromCaller();
+  std::vector<uint8_t> held(aBytes.begin(), aBytes.end());
+  if (auto found = m_searches.find(key); found != m_searches.end()) {
+    if (found->second.m_held.size() < kMaxHeld) {
+      found->second.m_held.push_back(std::move(held));
+    }
+    return;
+  }
+  if (m_searches.size() >= kMaxSearches) {
+    Add(FlowBalancerAction::Drop, FlowReason::TooManyHeld, key);
+    return;
+  }
+  std::vector<uint32_t> agents = AgentsToAsk(aRoute, aExceptIp);
+  Search& search = m_searches[key];
+  search.m_startedAt = aNow;
+  search.m_held.push_back(std::move(held));
+  search.m_askedCount = agents.size();
+  for (uint32_t ip : agents) {
+    Add(FlowBalancerAction::Query, FlowReason::Searched, key, aHeader.m_ack);
+    m_steps.back().m_agentIp = ip;
+  }
+}
+
+const std::vector<BalancerStep>&
+FlowBalancer::OnAnswer(TimePoint aNow,
+                       uint32_t aAgentIp,
+                       const FlowAnswer& aAnswer)
+{
+  (void)aNow;
+  m_steps.clear();
+  auto found = m_searches.find(aAnswer.m_flow);
+  if (found == m_searches.end()) {
+    return m_steps;
+  }
+  Search& search = found->second;
+  search.m_answerCount += 1;
+  if (aAnswer.m_ownership == FlowOwnership::Yes) {
+    EndSearch(aAnswer.m_flow, aAgentIp, FlowReason::Found);
+    return m_steps;
+  }
+  if (aAnswer.m_ownership == FlowOwnership::Possible) {
+    search.m_possible.push_back(aAgentIp);
+  }
+  if (search.m_answerCount >= search.m_askedCount) {
+    TryPossible(aAnswer.m_flow, search);
+  }
+  return m_steps;
+}
+
+// An agent that may have the flow gets its packets; if its server sends them
+// back, the next search asks the others.
+void
+FlowBalancer::TryPossible(const FlowKey& aFlow, Search& aSearch)
+{
+  if (aSearch.m_possible.empty()) {
+    m_searches.erase(aFlow);
+    Add(FlowBalancerAction::Drop, FlowReason::Unowned, aFlow);
+    return;
+  }
+  std::uniform_int_distribution<size_t> any(0, aSearch.m_possible.size() - 1);
+  EndSearch(aFlow, aSearch.m_possible[any(m_random)], FlowReason::Tried);
+}
+
+void
+FlowBalancer::EndSearch(const FlowKey& aFlow,
+                        uint32_t aAgentIp,
+                        FlowReason aReason)
+{
+  auto found = m_searches.find(aFlow);
+  std::vector<std::vector<uint8_t>> held = std::move(found->second.m_held);
+  m_searches.erase(found);
+  m_flows.Insert(aFlow, { aAgentIp, 0, false, 0, {} });
+  for (std::vector<uint8_t>& packet : held) {
+    Forward(aFlow, aAgentIp, aReason);
+    m_steps.back().m_held = std::move(packet);
+  }
+}
+
+void
+FlowBalancer::CountPause(TimePoint aNow)
+{
+  if (m_lastTick && aNow - *m_lastTick > kPauseLimit) {
+    m_agents.OnPause(aNow - *m_lastTick);
+  }
+  m_lastTick = aNow;
+}
+
+const std::vector<BalancerStep>&
+FlowBalancer::OnTick(TimePoint aNow)
+{
+  m_steps.clear();
+  CountPause(aNow);
+  m_agents.OnTick(aNow);
+  if (m_agents.HearsAny(aNow)) {
+    m_lastHeardAny = aNow;
+  }
+  if (m_routes && aNow >= m_nextPeriod) {
+    m_nextPeriod = aNow + m_routes->m_flowIdleLimit;
+    m_flows.EndPeriod();
+  }
+  std::vector<FlowKey> late;
+  for (const auto& [key, search] : m_searches) {
+    if (aNow - search.m_startedAt > kAnswerLimit) {
+      late.push_back(key);
+    }
+  }
+  for (const FlowKey& key : late) {
+    TryPossible(key, m_searches[key]);
+  }
+  return m_steps;
+}
+
+bool
+FlowBalancer::IsReady(TimePoint aNow) const
+{
+  return m_routes && m_agents.IsLoaded() && m_lastHeardAny &&
+         aNow - *m_lastHeardAny < kCutOffLimit;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowBalancer.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "AgentList.h"
+#include "GenerationMap.h"
+#include "RouteTable.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <array>
+#include <string_view>
+
+namespace bilberryfield {
+
+/** What a balancer does with a packet. */
+enum class FlowBalancerAction : uint8_t
+{
+  Forward, /**< To an agent. */
+  Reset,   /**< Tell the caller that the flow is refused or lost. */
+  Query,   /**< Ask an agent whether it has the flow. */
+  Drop,
+};
+
+/** Why a flow was placed, refused or dropped. */
+enum class FlowReason : uint8_t
+{
+  Known,        /**< The flow's server is known. */
+  Placed,       /**< A new flow was placed. */
+  PlacedAgain,  /**< Another server was chosen after a hand-back. */
+  Found,        /**< An agent claimed the flow. */
+  Tried,        /**< An agent that may have the flow is tried. */
+  NoRoute,      /**< No route has this address. */
+  NoServer,     /**< No server of the service can take the flow. */
+  NotYetLoaded, /**< Routes or agents are not known yet. */
+  Malformed,    /**< A packet that no caller may send. */
+  Unowned,      /**< No agent has the flow. */
+  TooManyHeld,  /**< Too many packets wait for answers. */
+  Searched,     /**< Agents are asked for the flow. */
+  Count,
+};
+
+inline constexpr NameTable<FlowReason, 12> kFlowReasonNames = { {
+  { FlowReason::Known, "known" },
+  { FlowReason::Placed, "placed" },
+  { FlowReason::PlacedAgain, "placed-again" },
+  { FlowReason::Found, "found" },
+  { FlowReason::Tried, "tried" },
+  { FlowReason::NoRoute, "no-route" },
+  { FlowReason::NoServer, "no-server" },
+  { FlowReason::NotYetLoaded, "not-yet-loaded" },
+  { FlowReason::Malformed, "malformed" },
+  { FlowReason::Unowned, "unowned" },
+  { FlowReason::TooManyHeld, "too-many-held" },
+  { FlowReason::Searched, "searched" },
+} };
+
+/** One step that follows from a decision. */
+struct BalancerStep
+{
+  FlowBalancerAction m_action = FlowBalancerAction::Drop;
+  FlowReason m_reason = FlowReason::Known;
+  FlowKey m_flow;
+  /** Agent to forward to or to ask. */
+  uint32_t m_agentIp = 0;
+  Endpoint m_packets;
+  uint32_t m_tag = 0;
+  uint32_t m_mark = 0;
+  /** Sequence number of a reset; acknowledgement number of a query. */
+  uint32_t m_number = 0;
+  /** A packet that was held; when empty, the packet at hand is meant. */
+  std::vector<uint8_t> m_held;
+};
+
+/**
+ * The decisions of a balancer: where new flows are placed, and where packets
+ * of flows go that it may never have seen.
+ */
+class FlowBalancer
+{
+public:
+  /** aSeed chooses among equals. */
+  FlowBalancer(std::string aDomain, uint64_t aSeed);
+
+  /** Takes routes into force; a version that is not newer is ignored. */
+  bool SetRoutes(RouteTablePointer aRoutes);
+  uint64_t RoutesVersion() const { return m_routes ? m_routes->m_version : 0; }
+
+  AgentList& Agents() { return m_agents; }
+  const AgentList& Agents() const { return m_agents; }
+
+  /** A packet from a caller. Steps are valid until the next call. */
+  const std::vector<BalancerStep>& OnCallerPacket(TimePoint aNow,
+                                                  const PacketHeader& aHeader,
+                                                  PacketBytes aBytes);
+
+  /** A packet that an agent handed back. */
+  const std::vector<BalancerStep>& OnHandedBack(TimePoint aNow,
+                                                const PacketHeader& aHeader,
+                                                PacketBytes aBytes,
+                                                uint32_t aAgentIp,
+                                                HandBack aReason);
+
+  /** An agent's answer to a query. */
+  const std::vector<BalancerStep>& OnAnswer(TimePoint aNow,
+                                            uint32_t aAgentIp,
+                                            const FlowAnswer& aAnswer);
+
+  /** To be called every kTick. */
+  const std::vector<BalancerStep>& OnTick(TimePoint aNow);
+
+  /** True when callers' packets can be served here. */
+  bool IsReady(TimePoint aNow) const;
+
+  size_t FlowCount() const { return m_flows.Size(); }
+  uint64_t Counted(FlowReason aReason) const
+  {
+    return m_counts[static_cast<size_t>(aReason)];
+  }
+
+  static constexpr Duration kTick = Milliseconds(20);
+
+private:
+  static constexpr size_t kMaxTries = 4;
+
+  struct Flow
+  {
+    uint32_t m_agentIp = 0;
+    /** Sequence number of the opening packet, when this balancer saw it. */
+    uint32_t m_openSeq = 0;
+    bool m_sawOpening = false;
+    uint8_t m_tryCount = 0;
+    std::array<uint32_t, kMaxTries> m_tried{};
+  };
+
+  /** Packets that wait until their flow's agent is found. */
+  struct Search
+  {
+    TimePoint m_startedAt;
+    std::vector<std::vector<uint8_t>> m_held;
+    std::vector<uint32_t> m_possible;
+    size_t m_askedCount = 0;
+    size_t m_answerCount = 0;
+  };
+
+  void PlaceOpening(TimePoint aNow,
+                    const PacketHeader& aHeader,
+                    const Route& aRoute,
+                    bool aIsAgain);
+  void SearchFor(TimePoint aNow,
+                 const PacketHeader& aHeader,
+                 PacketBytes aBytes,
+                 const Route& aRoute,
+                 uint32_t aExceptIp);
+  std::vector<uint32_t> AgentsToAsk(const Route& aRoute,
+                                    uint32_t aExceptIp) const;
+  void EndSearch(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
+  void TryPossible(const FlowKey& aFlow, Search& aSearch);
+  void Forward(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
+  void Add(FlowBalancerAction aAction,
+           FlowReason aReason,
+           const FlowKey& aFlow,
+           uint32_t aNumber = 0);
+  void CountPause(TimePoint aNow);
+
+  AgentList m_agents;
+  std::mt19937_64 m_random;
+  RouteTablePointer m_routes;
+  /** Services that an address led to before, by address. */
+  absl::flat_hash_map<Endpoint, std::vector<std::string>> m_earlierServices;
+  GenerationMap<FlowKey, Flow> m_flows;
+  absl::flat_hash_map<FlowKey, Search> m_searches;
+  std::vector<BalancerStep> m_steps;
+  std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
+  std::optional<TimePoint> m_lastTick;
+  std::optional<TimePoint> m_lastHeardAny;
+  TimePoint m_nextPeriod;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowMessages.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "NameTable.h"
+#include "Packet.h"
+#include "Time.h"
+
+#include <variant>
+#include <vector>
+
+namespace bilberryfield {
+
+/** What an agent knows of its backend server. */
+enum class ServerCondition : uint8_t
+{
+  Unknown,  /**< The agent has not heard from it since its own start. */
+  Ready,    /**< Takes new flows. */
+  Draining, /**< Keeps its flows, takes no new ones. */
+  Gone,     /**< Said that it leaves for good. */
+  Silent,   /**< No longer answers opening packets or sends heartbeats. */
+};
+
+inline constexpr NameTable<ServerCondition, 5> kServerConditionNames = { {
+  { ServerCondition::Unknown, "unknown" },
+  { ServerCondition::Ready, "ready" },
+  { ServerCondition::Draining, "draining" },
+  { ServerCondition::Gone, "gone" },
+  { ServerCondition::Silent, "silent" },
+} };
+
+/** The table of names of ServerCondition, found by the type. */
+constexpr const auto&
+NamesOf(ServerCondition)
+{
+  return kServerConditionNames;
+}
+
+/** The newest version of something, and a balancer that holds it. */
+struct VersionHolder
+{
+  uint64_t m_version = 0;
+  /** Where the holder serves its snapshot. */
+  Endpoint m_holder;
+
+  bool operator==(const VersionHolder&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("v", aSelf.m_version);
+    aVisitor("h", aSelf.m_holder);
+  }
+};
+
+/** From a balancer to an agent: asks for load reports for a while. */
+struct Subscribe
+{
+  std::string m_domain;
+  /** The balancer's newest configuration and agent list. */
+  VersionHolder m_routes;
+  VersionHolder m_agents;
+  /** The balancer found the agent in the platform's store. */
+  bool m_isListed = true;
+
+  bool operator==(const Subscribe&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("d", aSelf.m_domain);
+    aVisitor("r", aSelf.m_routes);
+    aVisitor("a", aSelf.m_agents);
+    aVisitor("l", aSelf.m_isListed);
+  }
+};
+
+/** From an agent to a balancer: its server's load. */
+struct ServerLoad
+{
+  std::string m_service;
+  std::string m_domain;
+  /** Where the agent takes packets for its server. */
+  Endpoint m_packets;
+  ServerCondition m_condition = ServerCondition::Unknown;
+  /** Flows whose request waits or runs. */
+  uint32_t m_busy = 0;
+  /** Requests that the server runs at a time. */
+  uint32_t m_slots = 1;
+  /** Mean time from a flow's first packet to its answer, microseconds. */
+  uint32_t m_answerUs = 0;
+  /** The newest versions that the agent heard of. */
+  VersionHolder m_routes;
+  VersionHolder m_agents;
+
+  bool operator==(const ServerLoad&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("s", aSelf.m_service);
+    aVisitor("d", aSelf.m_domain);
+    aVisitor("p", aSelf.m_packets);
+    aVisitor("c", aSelf.m_condition);
+    aVisitor("b", aSelf.m_busy);
+    aVisitor("n", aSelf.m_slots);
+    aVisitor("u", aSelf.m_answerUs);
+    aVisitor("r", aSelf.m_routes);
+    aVisitor("a", aSelf.m_agents);
+  }
+};
+
+/** From a balancer to an agent: is this flow at your server? */
+struct FlowQuery
+{
+  FlowKey m_flow;
+  /** Acknowledgement number of the caller's packet, which tells apart two
+   * servers that both answered the opening packet. */
+  uint32_t m_ack = 0;
+
+  bool operator==(const FlowQuery&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("f", aSelf.m_flow);
+    aVisitor("k", aSelf.m_ack);
+  }
+};
+
+/** Whether a flow is at an agent's server. */
+enum class FlowOwnership : uint8_t
+{
+  No,
+  Possible, /**< The agent started after its server and does not know. */
+  Yes,
+};
+
+inline constexpr NameTable<FlowOwnership, 3> kFlowOwnershipNames = { {
+  { FlowOwnership::No, "no" },
+  { FlowOwnership::Possible, "possible" },
+  { FlowOwnership::Yes, "yes" },
+} };
+
+/** The table of names of FlowOwnership, found by the type. */
+constexpr const auto&
+NamesOf(FlowOwnership)
+{
+  return kFlowOwnershipNames;
+}
+
+/** The answer to a FlowQuery. */
+struct FlowAnswer
+{
+  FlowKey m_flow;
+  FlowOwnership m_ownership = FlowOwnership::No;
+
+  bool operator==(const FlowAnswer&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("f", aSelf.m_flow);
+    aVisitor("o", aSelf.m_ownership);
+  }
+};
+
+/** What balancers and agents tell each other in datagrams. */
+using FlowMessage = std::variant<Subscribe, ServerLoad, FlowQuery, FlowAnswer>;
+
+/** Why an agent hands a packet back to the balancer that sent it. */
+enum class HandBack : uint8_t
+{
+  None,
+  Full,         /**< Every slot of the server is in use. */
+  NotAccepting, /**< The server drains, is gone or not yet known. */
+  Silent,       /**< The server did not answer the opening packet in time. */
+  WrongService, /**< The server at this address serves something else. */
+  NotOwner,     /**< The flow is not at this server. */
+  Bounced,      /**< The server sent the packet back. */
+  Count,
+};
+
+inline constexpr NameTable<HandBack, 7> kHandBackNames = { {
+  { HandBack::None, "none" },
+  { HandBack::Full, "full" },
+  { HandBack::NotAccepting, "not-accepting" },
+  { HandBack::Silent, "silent" },
+  { HandBack::WrongService, "wrong-service" },
+  { HandBack::NotOwner, "not-owner" },
+  { HandBack::Bounced, "bounced" },
+} };
+
+/** How a balancer sends an opening packet to an agent. */
+enum class OpenMode : uint8_t
+{
+  IfFree, /**< Hand it back when every slot is in use. */
+  Queue,  /**< Take it, also when it has to wait. */
+};
+
+/** Value of PacketHeader::m_tag that names a service, for the agent's check. */
+uint32_t
+ServiceTag(const std::string& aService);
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/Placement.cpp
@@ -0,0 +1,81 @@
+#include "Placement.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+// Costs are in units of one mean answer.
+
+/** Waiting that a server in another failure domain has to save. */
+constexpr double kOtherDomainCost = 0.75;
+/** Answers this many times slower than the mean count as a slow server. */
+constexpr double kSlowFactor = 2.0;
+/** Prefers emptier servers among those with a free slot. */
+constexpr double kOccupancyCost = 0.1;
+/** Spreads the choices of balancers that see the same load. */
+constexpr double kTieSpread = 0.05;
+
+double
+MeanAnswer(std::span<const PlacementCandidate> aCandidates)
+{
+  double sum = 0;
+  int known = 0;
+  for (const PlacementCandidate& candidate : aCandidates) {
+    if (candidate.m_answerUs > 0) {
+      sum += candidate.m_answerUs;
+      known += 1;
+    }
+  }
+  return known > 0 ? sum / known : 0;
+}
+
+// Small differences are noise of the requests' own lengths.
+double
+Slowness(const PlacementCandidate& aCandidate, double aMean)
+{
+  if (aMean <= 0 || aCandidate.m_answerUs < kSlowFactor * aMean) {
+    return 1;
+  }
+  return aCandidate.m_answerUs / aMean;
+}
+
+double
+Cost(const PlacementCandidate& aCandidate, double aMean)
+{
+  double slots = std::max<uint32_t>(aCandidate.m_slots, 1);
+  double occupancy = aCandidate.m_busy / slots;
+  double waiting = std::max(0.0, (aCandidate.m_busy + 1 - slots) / slots);
+  double cost = Slowness(aCandidate, aMean) * (1 + waiting);
+  cost += kOccupancyCost * std::min(occupancy, 1.0);
+  return aCandidate.m_isSameDomain ? cost : cost + kOtherDomainCost;
+}
+
+} // namespace
+
+std::optional<PlacementChoice>
+ChoosePlacement(std::span<const PlacementCandidate> aCandidates,
+                std::mt19937_64& aRandom)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  double mean = MeanAnswer(aCandidates);
+  std::uniform_real_distribution<double> spread(0, kTieSpread);
+  size_t best = 0;
+  double bestCost = 0;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    double cost = Cost(aCandidates[i], mean) + spread(aRandom);
+    if (i == 0 || cost < bestCost) {
+      best = i;
+      bestCost = cost;
+    }
+  }
+  const PlacementCandidate& chosen = aCandidates[best];
+  OpenMode mode =
+    chosen.m_busy < chosen.m_slots ? OpenMode::IfFree : OpenMode::Queue;
+  return PlacementChoice{ best, mode };
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/AgentDaemon.cpp
@@ -0,0 +1,293 @@
+#include "AgentDaemon.h"
+
+#include "FlowCodec.h"
+#include "HeartbeatCodec.h"
+#include "HttpPaths.h"
+#include "Log.h"
+#include "PacketCodec.h"
+
+namespace bilberryfield {
+
+namespace {
+
+/** Time in which balancers learn that the agent takes no new flows. */
+constexpr Duration kBalancersNotice = Milliseconds(300);
+constexpr Duration kShutdownStep = Milliseconds(50);
+constexpr uint16_t kOk = 200;
+constexpr uint16_t kBadRequest = 400;
+constexpr uint16_t kNotFound = 404;
+
+FlowAgentOptions
+OptionsFrom(const FlowSettings& aSettings)
+{
+  FlowAgentOptions options;
+  options.m_service = aSettings.m_service;
+  options.m_domain = aSettings.m_domain;
+  options.m_packets = aSettings.m_packetListen;
+  options.m_heartbeatEvery = aSettings.m_heartbeatEvery;
+  options.m_maxFlowAge = aSettings.m_maxFlowAge;
+  return options;
+}
+
+} // namespace
+
+AgentDaemon::AgentDaemon(const FlowSettings& aSettings)
+  : m_settings(aSettings)
+  , m_store(aSettings.m_platform)
+  , m_core(OptionsFrom(aSettings), FlowLoop::Now())
+  , m_registrar(
+      m_loop,
+      m_store,
+      { aSettings.m_service, aSettings.m_domain, aSettings.m_packetListen })
+  , m_heartbeats({ 1 }, [this](HttpIncoming aRequest, HttpReply aReply) {
+    m_loop.Post([this, request = std::move(aRequest), reply = aReply] {
+      reply(OnServerCall(request));
+    });
+  })
+{
+}
+
+Result<void>
+AgentDaemon::OpenSockets()
+{
+  auto packets = m_loop.Open(m_settings.m_packetListen,
+                             [this](auto aBytes, const Endpoint& aFrom) {
+                               OnBalancerDatagram(aBytes, aFrom);
+                             });
+  if (!packets) {
+    return tl::unexpected(packets.error());
+  }
+  auto server = m_loop.Open(
+    m_settings.m_serverListen,
+    [this](auto aBytes, const Endpoint&) { OnServerDatagram(aBytes); });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  auto control = m_loop.Open(
+    { m_settings.m_packetListen.m_ip, m_settings.m_controlPort },
+    [this](auto aBytes, const Endpoint& aFrom) { OnControl(aBytes, aFrom); });
+  if (!control) {
+    return tl::unexpected(control.error());
+  }
+  m_packets = *packets;
+  m_server = *server;
+  m_control = *control;
+  return {};
+}
+
+Result<void>
+AgentDaemon::Start()
+{
+  Result<void> opened = OpenSockets();
+  if (!opened) {
+    return opened;
+  }
+  Result<uint16_t> listening =
+    m_heartbeats.Start(ToText(m_settings.m_adminListen));
+  if (!listening) {
+    return tl::unexpected(listening.error());
+  }
+  m_loop.Every(FlowAgent::kTick, [this] { OnTick(); });
+  return {};
+}
+
+HttpOutgoing
+AgentDaemon::OnServerCall(const HttpIncoming& aRequest)
+{
+  std::string prefix = kHeartbeatPath;
+  if (!aRequest.m_path.starts_with(prefix)) {
+    return { kNotFound, {}, "", "" };
+  }
+  std::string id = aRequest.m_path.substr(prefix.size());
+  if (aRequest.m_method == "DELETE") {
+    m_core.OnLeave(id);
+    Log(LogLevel::Info, "server-left", { { "server", id } });
+    return { kOk, {}, "application/json", HeartbeatAnswer() };
+  }
+  Result<ServerHeartbeat> heartbeat = DecodeHeartbeat(id, aRequest.m_body);
+  if (!heartbeat) {
+    Log(LogLevel::Warning,
+        "heartbeat-rejected",
+        { { "server", id }, { "detail", heartbeat.error().m_detail } });
+    return { kBadRequest, {}, "", "" };
+  }
+  if (heartbeat->m_service != m_settings.m_service) {
+    Log(LogLevel::Warning,
+        "heartbeat-rejected",
+        { { "server", id }, { "service", heartbeat->m_service } });
+    return { kBadRequest, {}, "", "" };
+  }
+  OnHeartbeat(*heartbeat);
+  return { kOk, {}, "application/json", HeartbeatAnswer() };
+}
+
+void
+AgentDaemon::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+{
+  HeartbeatEnd end = m_core.OnHeartbeat(FlowLoop::Now(), aHeartbeat);
+  if (end != HeartbeatEnd::Accepted) {
+    Log(LogLevel::Info,
+        "heartbeat",
+        { { "server", aHeartbeat.m_id },
+          { "end", NameOf(kHeartbeatEndNames, end) },
+          { "born", aHeartbeat.m_born },
+          { "sequence", aHeartbeat.m_sequence } });
+  }
+}
+
+void
+AgentDaemon::OnBalancerDatagram(std::span<uint8_t> aBytes,
+                                const Endpoint& aFrom)
+{
+  std::optional<PacketHeader> header = DecodeHeader(aBytes);
+  bool isForged = !header || (header->Has(kSyn) && header->Has(kAck));
+  if (isForged) {
+    return;
+  }
+  Execute(m_core.OnBalancerPacket(FlowLoop::Now(), *header, aBytes, aFrom.m_ip),
+          *header,
+          aBytes,
+          aFrom.m_ip);
+}
+
+void
+AgentDaemon::OnServerDatagram(std::span<uint8_t> aBytes)
+{
+  std::optional<PacketHeader> header = DecodeHeader(aBytes);
+  if (!header) {
+    return;
+  }
+  Execute(m_core.OnServerPacket(FlowLoop::Now(), *header),
+          *header,
+          aBytes,
+          header->m_tag);
+}
+
+void
+AgentDaemon::Execute(const AgentVerdict& aVerdict,
+                     const PacketHeader& aHeader,
+                     std::span<uint8_t> aBytes,
+                     uint32_t aBalancerIp)
+{
+  uint16_t callerPort = m_settings.m_packetListen.m_port;
+  switch (aVerdict.m_action) {
+    case FlowAgentAction::Deliver:
+      // The server keeps the tag, so a packet that it sends back names the
+      // balancer that it came from.
+      WriteSystemFields(aBytes, aBalancerIp, 0);
+      m_server->Send(aBytes, m_settings.m_server);
+      break;
+    case FlowAgentAction::ToCaller:
+      m_packets->Send(aBytes, { aHeader.m_destination.m_ip, callerPort });
+      break;
+    case FlowAgentAction::HandBack:
+      HandBackTo(aVerdict.m_balancerIp, aVerdict.m_reason, aBytes);
+      break;
+    case FlowAgentAction::Reset: {
+      FlowKey flow = aHeader.FlowFromCaller();
+      Log(LogLevel::Info, "flow-lost", { { "flow", ToText(flow) } });
+      m_packets->Send(EncodeReset(flow, aHeader.m_ack),
+                      { flow.m_caller.m_ip, callerPort });
+      break;
+    }
+    case FlowAgentAction::Drop:
+      break;
+  }
+}
+
+void
+AgentDaemon::HandBackTo(uint32_t aBalancerIp,
+                        HandBack aReason,
+                        std::span<uint8_t> aBytes)
+{
+  WriteSystemFields(
+    aBytes, m_core.Load().Pack(), static_cast<uint32_t>(aReason));
+  m_packets->Send(aBytes, { aBalancerIp, m_settings.m_handBackPort });
+}
+
+void
+AgentDaemon::OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom)
+{
+  std::string_view text(reinterpret_cast<const char*>(aBytes.data()),
+                        aBytes.size());
+  Result<FlowMessage> message = DecodeFlowMessage(text, ToText(aFrom));
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", message.error().m_peer },
+          { "detail", message.error().m_detail } });
+    return;
+  }
+  TimePoint now = FlowLoop::Now();
+  if (auto* subscribe = std::get_if<Subscribe>(&*message)) {
+    m_core.OnSubscribe(now, aFrom.m_ip, *subscribe);
+  } else if (auto* query = std::get_if<FlowQuery>(&*message)) {
+    SendControl(aFrom.m_ip, m_core.OnQuery(now, *query));
+  }
+}
+
+void
+AgentDaemon::SendControl(uint32_t aIp, const FlowMessage& aMessage)
+{
+  std::string text = EncodeFlowMessage(aMessage);
+  m_control->Send(
+    { reinterpret_cast<const uint8_t*>(text.data()), text.size() },
+    { aIp, m_settings.m_controlPort });
+}
+
+void
+AgentDaemon::OnTick()
+{
+  TimePoint now = FlowLoop::Now();
+  ServerCondition condition = m_core.Condition(now);
+  if (condition != m_loggedCondition) {
+    Log(LogLevel::Info,
+        "server-condition",
+        { { "from", NameOf(kServerConditionNames, m_loggedCondition) },
+          { "to", NameOf(kServerConditionNames, condition) },
+          { "busy", m_core.BusyFlows() } });
+    m_loggedCondition = condition;
+  }
+  for (UnansweredOpening& opening : m_core.TakeUnanswered(now)) {
+    HandBackTo(opening.m_balancerIp,
+               HandBack::Silent,
+               { opening.m_bytes.data(), opening.m_bytes.size() });
+  }
+  for (const ReportTo& report : m_core.OnTick(now)) {
+    SendControl(report.m_balancerIp, report.m_report);
+  }
+  bool isServerHere =
+    condition != ServerCondition::Unknown && condition != ServerCondition::Gone;
+  m_registrar.SetWanted(isServerHere);
+  if (m_core.IsMissedInStore()) {
+    m_core.ClearMissedInStore();
+    m_registrar.OnMissing();
+  }
+}
+
+void
+AgentDaemon::BeginShutdown()
+{
+  m_loop.Post([this] {
+    if (m_stoppingSince) {
+      return;
+    }
+    m_stoppingSince = FlowLoop::Now();
+    m_core.BeginShutdown();
+    Log(LogLevel::Info, "stopping", { { "busy", m_core.BusyFlows() } });
+    ContinueShutdown();
+  });
+}
+
+void
+AgentDaemon::ContinueShutdown()
+{
+  Duration since = FlowLoop::Now() - *m_stoppingSince;
+  if (since >= m_settings.m_shutdownLimit ||
+      (since >= kBalancersNotice && m_core.BusyFlows() == 0)) {
+    return m_loop.Stop();
+  }
+  m_loop.After(kShutdownStep, [this] { ContinueShutdown(); });
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/AgentDaemon.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "AgentRegistrar.h"
+#include "FlowAgent.h"
+#include "FlowLoop.h"
+#include "FlowSettings.h"
+#include "HttpServer.h"
+
+namespace bilberryfield {
+
+/** The agent beside a backend server: sockets, timers and the store around the
+ * decisions of FlowAgent. */
+class AgentDaemon
+{
+public:
+  explicit AgentDaemon(const FlowSettings& aSettings);
+
+  Result<void> Start();
+
+  /** Runs on the calling thread until a shutdown has ended. */
+  void Run() { m_loop.Run(); }
+
+  /** Begins a graceful shutdown; any thread may call it. */
+  void BeginShutdown();
+
+private:
+  Result<void> OpenSockets();
+  void OnBalancerDatagram(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void OnServerDatagram(std::span<uint8_t> aBytes);
+  void OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void Execute(const AgentVerdict& aVerdict,
+               const PacketHeader& aHeader,
+               std::span<uint8_t> aBytes,
+               uint32_t aBalancerIp);
+  void HandBackTo(uint32_t aBalancerIp,
+                  HandBack aReason,
+                  std::span<uint8_t> aBytes);
+  void SendControl(uint32_t aIp, const FlowMessage& aMessage);
+  HttpOutgoing OnServerCall(const HttpIncoming& aRequest);
+  void OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+  void OnTick();
+  void ContinueShutdown();
+
+  FlowSettings m_settings;
+  FlowLoop m_loop;
+  StoreClient m_store;
+  FlowAgent m_core;
+  AgentRegistrar m_registrar;
+  HttpServer m_heartbeats;
+  FlowLoop::Socket* m_packets = nullptr;
+  FlowLoop::Socket* m_server = nullptr;
+  FlowLoop::Socket* m_control = nullptr;
+  ServerCondition m_loggedCondition = ServerCondition::Unknown;
+  std::optional<TimePoint> m_stoppingSince;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/AgentEntryCodec.cpp
@@ -0,0 +1,31 @@
+#include "AgentEntryCodec.h"
+
+namespace bilberryfield {
+
+nlohmann::json
+ToJson(const AgentEntry& aEntry)
+{
+  return { { "service", aEntry.m_service },
+           { "failure_domain", aEntry.m_domain },
+           { "packets", ToText(aEntry.m_packets) } };
+}
+
+Result<AgentEntry>
+ReadAgentEntry(const std::string& aName, const nlohmann::json& aContent)
+{
+  try {
+    AgentEntry entry;
+    entry.m_service = aContent.at("service").get<std::string>();
+    entry.m_domain = aContent.at("failure_domain").get<std::string>();
+    auto packets = ParseIpAndPort(aContent.at("packets").get<std::string>());
+    if (!packets) {
+      return Failure(Step::DecodeMessage, aName, "packets is no address");
+    }
+    entry.m_packets = *packets;
+    return entry;
+  } catch (const nlohmann::json::exception& error) {
+    return Failure(Step::DecodeMessage, aName, error.what());
+  }
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/AgentEntryCodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "AgentList.h"
+#include "Error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bilberryfield {
+
+/** Kind of the store's objects that list the agents. */
+inline constexpr const char* kAgentKind = "bilberry-agents";
+
+/** An agent's entry as it is stored. */
+nlohmann::json
+ToJson(const AgentEntry& aEntry);
+
+/** The entry in a stored object. */
+Result<AgentEntry>
+ReadAgentEntry(const std::string& aName, const nlohmann::json& aContent);
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -0,0 +1,327 @@
+#include "BalancerDaemon.h"
+
+#include "AgentEntryCodec.h"
+#include "FlowCodec.h"
+#include "HttpPaths.h"
+#include "Log.h"
+#include "OperatorConfig.h"
+#include "PacketCodec.h"
+#include "Rendezvous.h"
+
+namespace bilberryfield {
+
+namespace {
+
+/** Time between two subscriptions to each agent. */
+constexpr Duration kSubscribeEvery = Seconds(1);
+/** Time in which the fabric notices that a balancer is not ready. */
+constexpr Duration kFabricNotices = Milliseconds(2500);
+/** Silence of callers after which a shutdown ends. */
+constexpr Duration kCallersQuiet = Milliseconds(500);
+constexpr Duration kShutdownStep = Milliseconds(100);
+constexpr uint16_t kOk = 200;
+constexpr uint16_t kUnavailable = 503;
+
+} // namespace
+
+BalancerDaemon::BalancerDaemon(const FlowSettings& aSettings)
+  : m_settings(aSettings)
+  , m_store(aSettings.m_platform)
+  , m_core(aSettings.m_domain, std::random_device{}())
+  , m_routesFollower(
+      m_loop,
+      m_store,
+      kConfigKind,
+      [this](const auto& aObjects, uint64_t) { OnRoutes(aObjects); })
+  , m_agentsFollower(m_loop,
+                     m_store,
+                     kAgentKind,
+                     [this](const auto& aObjects, uint64_t aRevision) {
+                       OnAgents(aObjects, aRevision);
+                     })
+  , m_readiness({ 1 },
+                [this](const HttpIncoming& aRequest, const HttpReply& aReply) {
+                  bool isReady = aRequest.m_path == kReadinessPath && m_isReady;
+                  aReply({ isReady ? kOk : kUnavailable, {}, "", "" });
+                })
+  , m_admin([this](std::function<void()> aFunction) {
+    m_loop.Post(std::move(aFunction));
+  })
+{
+}
+
+Result<void>
+BalancerDaemon::OpenSockets()
+{
+  uint32_t ip = m_settings.m_packetListen.m_ip;
+  auto callers =
+    m_loop.Open(m_settings.m_packetListen,
+                [this](auto aBytes, const auto&) { OnCallerDatagram(aBytes); });
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  auto handBack = m_loop.Open({ ip, m_settings.m_handBackPort },
+                              [this](auto aBytes, const Endpoint& aFrom) {
+                                OnHandedBack(aBytes, aFrom);
+                              });
+  if (!handBack) {
+    return tl::unexpected(handBack.error());
+  }
+  auto control = m_loop.Open(
+    { ip, m_settings.m_controlPort },
+    [this](auto aBytes, const Endpoint& aFrom) { OnControl(aBytes, aFrom); });
+  if (!control) {
+    return tl::unexpected(control.error());
+  }
+  m_callers = *callers;
+  m_handBack = *handBack;
+  m_control = *control;
+  return {};
+}
+
+Result<void>
+BalancerDaemon::StartServers()
+{
+  Result<uint16_t> readiness =
+    m_readiness.Start(ToText(m_settings.m_readinessListen));
+  if (!readiness) {
+    return tl::unexpected(readiness.error());
+  }
+  return m_admin.Start(ToText(m_settings.m_adminListen)).map([](uint16_t) {});
+}
+
+Result<void>
+BalancerDaemon::Start()
+{
+  Result<void> opened = OpenSockets();
+  if (!opened) {
+    return opened;
+  }
+  Result<void> started = StartServers();
+  if (!started) {
+    return started;
+  }
+  m_loop.Every(FlowBalancer::kTick, [this] { OnTick(); });
+  m_loop.Every(kSubscribeEvery, [this] { SubscribeToAgents(); });
+  m_routesFollower.Start();
+  m_agentsFollower.Start();
+  return {};
+}
+
+void
+BalancerDaemon::OnRoutes(const StoreFollower::Objects& aObjects)
+{
+  auto found = aObjects.find(kConfigName);
+  if (found == aObjects.end()) {
+    return;
+  }
+  Result<OperatorConfig> config = DecodeOperatorConfig(found->second.m_content);
+  if (!config) {
+    Log(LogLevel::Error,
+        "routes-rejected",
+        { { "revision", found->second.m_revision },
+          { "detail", config.error().m_detail } });
+    return;
+  }
+  for (const std::string& mistake : config->m_mistakes) {
+    Log(LogLevel::Warning, "route-rejected", { { "detail", mistake } });
+  }
+  uint64_t version = config->m_table.m_version;
+  size_t count = config->m_table.m_routes.size();
+  bool isTaken = m_core.SetRoutes(
+    std::make_shared<const RouteTable>(std::move(config->m_table)));
+  Log(LogLevel::Info,
+      isTaken ? "routes-in-force" : "routes-not-newer",
+      { { "version", version },
+        { "routes", count },
+        { "revision", found->second.m_revision } });
+}
+
+void
+BalancerDaemon::OnAgents(const StoreFollower::Objects& aObjects,
+                         uint64_t aRevision)
+{
+  std::vector<AgentEntry> entries;
+  for (const auto& [name, object] : aObjects) {
+    Result<AgentEntry> entry = ReadAgentEntry(name, object.m_content);
+    if (entry) {
+      entries.push_back(std::move(*entry));
+    } else {
+      Log(LogLevel::Warning,
+          "agent-entry-rejected",
+          { { "name", name }, { "detail", entry.error().m_detail } });
+    }
+  }
+  m_core.Agents().SetListed(FlowLoop::Now(), aRevision, entries);
+  Log(LogLevel::Info,
+      "agents-listed",
+      { { "agents", entries.size() }, { "revision", aRevision } });
+  SubscribeToAgents();
+}
+
+void
+BalancerDaemon::OnCallerDatagram(std::span<uint8_t> aBytes)
+{
+  std::optional<PacketHeader> header = DecodeHeader(aBytes);
+  if (!header) {
+    return;
+  }
+  TimePoint now = FlowLoop::Now();
+  m_lastCallerPacket = now;
+  Execute(m_core.OnCallerPacket(now, *header, aBytes), aBytes);
+}
+
+void
+BalancerDaemon::OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom)
+{
+  std::optional<PacketHeader> header = DecodeHeader(aBytes);
+  if (!header || header->m_mark >= static_cast<uint32_t>(HandBack::Count)) {
+    return;
+  }
+  auto reason = static_cast<HandBack>(header->m_mark);
+  Log(LogLevel::Info,
+      "handed-back",
+      { { "flow", ToText(header->FlowFromCaller()) },
+        { "agent", IpToText(aFrom.m_ip) },
+        { "reason", NameOf(kHandBackNames, reason) } });
+  Execute(
+    m_core.OnHandedBack(FlowLoop::Now(), *header, aBytes, aFrom.m_ip, reason),
+    aBytes);
+}
+
+void
+BalancerDaemon::OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom)
+{
+  std::string_view text(reinterpret_cast<const char*>(aBytes.data()),
+                        aBytes.size());
+  Result<FlowMessage> message = DecodeFlowMessage(text, ToText(aFrom));
+  if (!message) {
+    Log(LogLevel::Warning,
+        "message-rejected",
+        { { "peer", message.error().m_peer },
+          { "detail", message.error().m_detail } });
+    return;
+  }
+  TimePoint now = FlowLoop::Now();
+  if (auto* report = std::get_if<ServerLoad>(&*message)) {
+    m_core.Agents().OnReport(now, aFrom.m_ip, *report);
+  } else if (auto* answer = std::get_if<FlowAnswer>(&*message)) {
+    Execute(m_core.OnAnswer(now, aFrom.m_ip, *answer), {});
+  }
+}
+
+void
+BalancerDaemon::Execute(const std::vector<BalancerStep>& aSteps,
+                        std::span<uint8_t> aBytes)
+{
+  for (const BalancerStep& step : aSteps) {
+    LogStep(step);
+    switch (step.m_action) {
+      case FlowBalancerAction::Forward:
+        SendForward(step, aBytes);
+        break;
+      case FlowBalancerAction::Reset:
+        m_callers->Send(
+          EncodeReset(step.m_flow, step.m_number),
+          { step.m_flow.m_caller.m_ip, m_settings.m_packetListen.m_port });
+        break;
+      case FlowBalancerAction::Query:
+        SendControl(step.m_agentIp, FlowQuery{ step.m_flow, step.m_number });
+        break;
+      case FlowBalancerAction::Drop:
+        break;
+    }
+  }
+}
+
+void
+BalancerDaemon::SendForward(const BalancerStep& aStep,
+                            std::span<uint8_t> aBytes)
+{
+  std::vector<uint8_t> held = aStep.m_held;
+  std::span<uint8_t> bytes = held.empty() ? aBytes : std::span(held);
+  WriteSystemFields(bytes, aStep.m_tag, aStep.m_mark);
+  m_handBack->Send(bytes, aStep.m_packets);
+}
+
+void
+BalancerDaemon::SendControl(uint32_t aIp, const FlowMessage& aMessage)
+{
+  std::string text = EncodeFlowMessage(aMessage);
+  m_control->Send(
+    { reinterpret_cast<const uint8_t*>(text.data()), text.size() },
+    { aIp, m_settings.m_controlPort });
+}
+
+void
+BalancerDaemon::LogStep(const BalancerStep& aStep)
+{
+  if (aStep.m_reason == FlowReason::Known) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "flow",
+      { { "flow", ToText(aStep.m_flow) },
+        { "reason", NameOf(kFlowReasonNames, aStep.m_reason) },
+        { "agent", aStep.m_agentIp ? IpToText(aStep.m_agentIp) : "" },
+        { "routes", m_core.RoutesVersion() } });
+}
+
+void
+BalancerDaemon::OnTick()
+{
+  TimePoint now = FlowLoop::Now();
+  Execute(m_core.OnTick(now), {});
+  bool isReady = !m_stoppingSince && m_core.IsReady(now);
+  if (isReady != m_isReady) {
+    m_isReady = isReady;
+    Log(LogLevel::Info,
+        isReady ? "ready" : "not-ready",
+        { { "routes", m_core.RoutesVersion() },
+          { "agents", m_core.Agents().All().size() } });
+  }
+}
+
+void
+BalancerDaemon::SubscribeToAgents()
+{
+  Subscribe message;
+  message.m_domain = m_settings.m_domain;
+  message.m_routes = { m_core.RoutesVersion(), m_settings.m_adminListen };
+  message.m_agents = { m_core.Agents().Revision(), m_settings.m_adminListen };
+  for (const auto& [ip, agent] : m_core.Agents().All()) {
+    message.m_isListed = agent.m_isListed;
+    SendControl(ip, message);
+  }
+}
+
+void
+BalancerDaemon::BeginShutdown()
+{
+  m_loop.Post([this] {
+    if (m_stoppingSince) {
+      return;
+    }
+    m_stoppingSince = FlowLoop::Now();
+    m_isReady = false;
+    Log(LogLevel::Info, "stopping", { { "flows", m_core.FlowCount() } });
+    ContinueShutdown();
+  });
+}
+
+// The fabric goes on sending until it has noticed, and for as long as no other
+// balancer is ready.
+void
+BalancerDaemon::ContinueShutdown()
+{
+  TimePoint now = FlowLoop::Now();
+  Duration since = now - *m_stoppingSince;
+  bool isQuiet = now - m_lastCallerPacket > kCallersQuiet;
+  if (since >= m_settings.m_shutdownLimit ||
+      (since >= kFabricNotices && isQuiet)) {
+    return m_loop.Stop();
+  }
+  m_loop.After(kShutdownStep, [this] { ContinueShutdown(); });
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/BalancerDaemon.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "AdminServer.h"
+#include "FlowBalancer.h"
+#include "FlowLoop.h"
+#include "FlowSettings.h"
+#include "StoreFollower.h"
+
+namespace bilberryfield {
+
+/** A balancer on the packet path: sockets, timers and the store around the
+ * decisions of FlowBalancer. */
+class BalancerDaemon
+{
+public:
+  explicit BalancerDaemon(const FlowSettings& aSettings);
+
+  Result<void> Start();
+
+  /** Runs on the calling thread until a shutdown has ended. */
+  void Run() { m_loop.Run(); }
+
+  /** Begins a graceful shutdown; any thread may call it. */
+  void BeginShutdown();
+
+private:
+  Result<void> OpenSockets();
+  Result<void> StartServers();
+  void OnCallerDatagram(std::span<uint8_t> aBytes);
+  void OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void OnRoutes(const StoreFollower::Objects& aObjects);
+  void OnAgents(const StoreFollower::Objects& aObjects, uint64_t aRevision);
+  void Execute(const std::vector<BalancerStep>& aSteps,
+               std::span<uint8_t> aBytes);
+  void SendForward(const BalancerStep& aStep, std::span<uint8_t> aBytes);
+  void SendControl(uint32_t aIp, const FlowMessage& aMessage);
+  void LogStep(const BalancerStep& aStep);
+  void OnTick();
+  void SubscribeToAgents();
+  void ContinueShutdown();
+
+  FlowSettings m_settings;
+  FlowLoop m_loop;
+  StoreClient m_store;
+  FlowBalancer m_core;
+  StoreFollower m_routesFollower;
+  StoreFollower m_agentsFollower;
+  HttpServer m_readiness;
+  AdminServer m_admin;
+  FlowLoop::Socket* m_callers = nullptr;
+  FlowLoop::Socket* m_handBack = nullptr;
+  FlowLoop::Socket* m_control = nullptr;
+  std::atomic<bool> m_isReady{ false };
+  std::optional<TimePoint> m_stoppingSince;
+  TimePoint m_lastCallerPacket;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flownode/FlowSettings.cpp
@@ -0,0 +1,108 @@
+#include "FlowSettings.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr int64_t kMaxTimeMs = 3'600'000;
+
+Endpoint
+ReadEndpoint(JsonFields& aFields, const std::string& aKey)
+{
+  std::string text = aFields.RequiredString(aKey);
+  std::optional<Endpoint> endpoint = ParseIpAndPort(text);
+  if (!text.empty() && !endpoint) {
+    aFields.AddMistake(aKey, '"' + text + '"', "an IPv4 address and a port");
+  }
+  return endpoint.value_or(Endpoint{});
+}
+
+uint16_t
+ReadPort(JsonFields& aFields, const std::string& aKey)
+{
+  auto port =
+    static_cast<uint16_t>(aFields.OptionalInteger(aKey, 0, 0, UINT16_MAX));
+  if (port == 0) {
+    aFields.AddMistake(aKey, "nothing", "a port from 1 to 65535");
+  }
+  return port;
+}
+
+Milliseconds
+ReadTime(JsonFields& aFields, const std::string& aKey, Milliseconds aDefault)
+{
+  return Milliseconds(
+    aFields.OptionalInteger(aKey, aDefault.count(), 1, kMaxTimeMs));
+}
+
+std::vector<Endpoint>
+ReadSeeds(JsonFields& aFields)
+{
+  std::vector<Endpoint> seeds;
+  for (const std::string& text : aFields.StringList("seeds", false)) {
+    if (std::optional<Endpoint> seed = ParseIpAndPort(text)) {
+      seeds.push_back(*seed);
+    } else {
+      aFields.AddMistake("seeds", '"' + text + '"', "IPv4 addresses and ports");
+    }
+  }
+  return seeds;
+}
+
+void
+ReadAgentFields(JsonFields& aFields, FlowSettings& aSettings)
+{
+  aSettings.m_serverListen = ReadEndpoint(aFields, "server_listen");
+  aSettings.m_server = ReadEndpoint(aFields, "server");
+  aSettings.m_service = aFields.RequiredString("service");
+  aSettings.m_heartbeatEvery =
+    ReadTime(aFields, "heartbeat_ms", aSettings.m_heartbeatEvery);
+  aSettings.m_maxFlowAge =
+    ReadTime(aFields, "max_flow_ms", aSettings.m_maxFlowAge);
+}
+
+} // namespace
+
+bool
+IsForPacketPath(const nlohmann::json& aJson)
+{
+  return aJson.is_object() && aJson.contains("role") &&
+         aJson["role"].is_string() &&
+         ValueOf(kFlowRoleNames, aJson["role"].get<std::string>());
+}
+
+FlowSettingsParse
+ParseFlowSettings(const nlohmann::json& aJson)
+{
+  std::vector<UserMistake> mistakes;
+  FlowSettings settings;
+  JsonFields fields(aJson, "", mistakes);
+  settings.m_role =
+    fields.OptionalName("role", kFlowRoleNames, FlowRole::Balancer);
+  settings.m_id = fields.RequiredString("id");
+  settings.m_domain = fields.RequiredString("failure_domain");
+  settings.m_packetListen = ReadEndpoint(fields, "packet_listen");
+  settings.m_adminListen = ReadEndpoint(fields, "admin_listen");
+  settings.m_platform = ToText(ReadEndpoint(fields, "platform"));
+  settings.m_controlPort = ReadPort(fields, "control_port");
+  settings.m_handBackPort = ReadPort(fields, "hand_back_port");
+  settings.m_logLevel =
+    fields.OptionalName("log_level", kLogLevelNames, settings.m_logLevel);
+  settings.m_shutdownLimit =
+    ReadTime(fields, "shutdown_limit_ms", settings.m_shutdownLimit);
+  if (settings.m_role == FlowRole::Agent) {
+    ReadAgentFields(fields, settings);
+  } else {
+    settings.m_readinessListen = ReadEndpoint(fields, "readiness_listen");
+    settings.m_seeds = ReadSeeds(fields);
+  }
+  fields.RejectUnknownKeys();
+  if (!mistakes.empty()) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  return settings;
+}
+
+} // namespace bilberryfield
--- a/packages/peer/FieldCodec.h
+++ b/packages/peer/FieldCodec.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Error.h"
 #include "ServiceConfig.h"
 
 #include <type_traits>
+#include <variant>
 
 namespace bilberryfield {
 
@@ -138,4 +140,49 @@
   const nlohmann::json& m_object;
 };
 
+/** CBOR form of a message that is one of several kinds. */
+template<typename Variant>
+std::string
+EncodeVariant(const Variant& aMessage)
+{
+  nlohmann::json fields = std::visit(
+    [](const auto& aOne) { return FieldWriter::Encode(aOne); }, aMessage);
+  std::string bytes;
+  nlohmann::json::to_cbor(
+    nlohmann::json::array({ aMessage.index(), std::move(fields) }), bytes);
+  return bytes;
+}
+
+/** The message of a kind; throws a JSON exception for an unknown kind. */
+template<typename Variant, size_t Index = 0>
+Variant
+DecodeAlternative(size_t aIndex, const nlohmann::json& aFields)
+{
+  if constexpr (Index < std::variant_size_v<Variant>) {
+    if (aIndex == Index) {
+      std::variant_alternative_t<Index, Variant> message;
+      FieldReader::Decode(aFields, message);
+      return message;
+    }
+    return DecodeAlternative<Variant, Index + 1>(aIndex, aFields);
+  } else {
+    throw nlohmann::json::other_error::create(
+      0, "unknown kind of message", nullptr);
+  }
+}
+
+/** The message in CBOR bytes that came from aPeer. */
+template<typename Variant>
+Result<Variant>
+DecodeVariant(std::string_view aBytes, const std::string& aPeer)
+{
+  try {
+    nlohmann::json envelope = nlohmann::json::from_cbor(aBytes);
+    return DecodeAlternative<Variant>(envelope.at(0).get<size_t>(),
+                                      envelope.at(1));
+  } catch (const nlohmann::json::exception& error) {
+    return Failure(Step::DecodeMessage, aPeer, error.what());
+  }
+}
+
 } // namespace bilberryfield
--- a/packages/runtime/HttpClient.cpp
+++ b/packages/runtime/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <future>
 #include <map>
+#include <netinet/tcp.h>
 #include <optional>
 #include <thread>
 
@@ -51,6 +52,9 @@
     }
   }
 
+  // After one connection to a host failed, its idle ones may be dead too.
+  void Forget(const std::string& aHost) { m_idle.erase(aHost); }
+
 private:
   // An idle connection that has something to read was closed by the server,
   // or carries bytes that belong to no call.
@@ -117,6 +121,26 @@
   return result;
 }
 
+// A connection can go silent without a reset; the kernel's probes find out
+// while a call waits long for its answer.
+void
+SetKeepAlive(asio::ip::tcp::socket& aSocket)
+{
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr int kUserTimeoutMs = 3000;
+  using Tcp = asio::ip::tcp;
+  ErrorCode ignored;
+  aSocket.set_option(Tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  int fd = aSocket.native_handle();
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof(int));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds, sizeof(int));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(int));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(int));
+}
+
 // One call from its connection to its end.
 class Call : public std::enable_shared_from_this<Call>
 {
@@ -154,9 +178,7 @@
         if (aError) {
           return self->Fail(HttpEnd::Refused, aError.message());
         }
-        ErrorCode ignored;
-        self->m_stream->socket().set_option(asio::ip::tcp::no_delay(true),
-                                            ignored);
+        SetKeepAlive(self->m_stream->socket());
         self->Write();
       });
   }
@@ -203,6 +225,7 @@
     result.m_end = aEnd;
     result.m_body = aDetail;
     m_stream.reset();
+    m_pool.Forget(m_host);
     m_onEnd(std::move(result));
   }
 
