End connection attempts after half a second

Cause: after a partition from the store a balancer's watch was connecting, and the kernel repeats a lost opening packet after 1, 2, 4 and 8 s; the attempt was bounded by the watch's own 26.5 s. Ruled out: lost history (the 410 was answered with a new listing at once).

Change: a connection that does not come about within 500 ms is given up; the call is tried again with a new one.

--- a/packages/runtime/HttpClient.cpp
+++ b/packages/runtime/HttpClient.cpp
@@ -3,6 +3,7 @@
 // boost/asio 1.74 uses std::exchange without including its header.
 #include <utility>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -121,6 +122,10 @@
   return result;
 }
 
+// The kernel repeats a lost opening packet after ever longer pauses; a new
+// connection gets through sooner once the path is back.
+constexpr Duration kConnectTimeout = Milliseconds(500);
+
 // A connection can go silent without a reset; the kernel's probes find out
 // while a call waits long for its answer.
 void
@@ -172,13 +177,14 @@
       return Fail(HttpEnd::Refused, "not an IP and port");
     }
     m_stream = std::make_unique<Stream>(m_io);
-    m_stream->expires_after(m_timeout);
+    m_stream->expires_after(std::min<Duration>(m_timeout, kConnectTimeout));
     m_stream->async_connect(
       *endpoint, [self = shared_from_this()](ErrorCode aError) {
         if (aError) {
           return self->Fail(HttpEnd::Refused, aError.message());
         }
         SetKeepAlive(self->m_stream->socket());
+        self->m_stream->expires_after(self->m_timeout);
         self->Write();
       });
   }
