Keep lost flows from going round between agents

Change: an agent remembers what its server sent back, and a flow that every agent of a whole, current list denies is reset, so its caller can try again at once.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kOpeningBusyLimit = Milliseconds(1500);
 /** Bytes that an acknowledgement may be ahead of the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
+/** Flows that are remembered as not being at the server. */
+constexpr size_t kMaxDenied = 10'000;
 /** Weight of a new sample in the mean answer time. */
 constexpr double kAnswerTimeGain = 0.05;
 
@@ -35,6 +37,7 @@
   , m_start(aStart)
   , m_server(m_options.m_heartbeatEvery)
   , m_flows(m_options.m_maxFlows)
+  , m_denied(kMaxDenied)
   , m_nextPeriod(aStart + m_options.m_maxFlowAge)
 {
 }
@@ -92,8 +95,9 @@
   FlowKey key = aHeader.FlowFromCaller();
   Flow* flow = m_flows.Find(key);
   if (!flow) {
-    return MayMissFlows(aNow) ? AgentVerdict{ FlowAgentAction::Deliver }
-                              : GiveBack(HandBack::NotOwner, aBalancerIp);
+    bool mayBeHere = MayMissFlows(aNow) && !m_denied.Find(key);
+    return mayBeHere ? AgentVerdict{ FlowAgentAction::Deliver }
+                     : GiveBack(HandBack::NotOwner, aBalancerIp);
   }
   if (IsOtherServers(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
     return GiveBack(HandBack::NotOwner, aBalancerIp);
@@ -128,6 +132,7 @@
   if (!mayQueue && m_busy >= Load().m_slots) {
     return GiveBack(HandBack::Full, aBalancerIp);
   }
+  m_denied.Erase(key);
   Flow& flow = m_flows.Insert(key, {});
   flow.m_busySince = aNow;
   m_busy += 1;
@@ -168,6 +173,9 @@
   FlowKey key = aHeader.FlowFromCaller();
   uint32_t balancerIp = aHeader.m_tag;
   Flow* flow = m_flows.Find(key);
+  if (!aHeader.IsOpening()) {
+    m_denied.Insert(key, true);
+  }
   if (!flow) {
     return GiveBack(HandBack::Bounced, balancerIp);
   }
@@ -243,7 +251,7 @@
     if (!IsOtherServers(*flow, aQuery.m_ack)) {
       answer.m_ownership = FlowOwnership::Yes;
     }
-  } else if (MayMissFlows(aNow)) {
+  } else if (MayMissFlows(aNow) && !m_denied.Find(aQuery.m_flow)) {
     answer.m_ownership = FlowOwnership::Possible;
   }
   return answer;
@@ -285,6 +293,7 @@
   if (aNow >= m_nextPeriod) {
     m_nextPeriod = aNow + m_options.m_maxFlowAge;
     m_flows.EndPeriod();
+    m_denied.EndPeriod();
   }
   std::erase_if(m_subscribers, [&](const auto& aItem) {
     return aNow - aItem.second.m_heardAt > kSubscriptionLife;
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -182,6 +182,8 @@
   TimePoint m_start;
   ServerTracker m_server;
   GenerationMap<FlowKey, Flow> m_flows;
+  /** Flows that the server sent back; it does not have them. */
+  GenerationMap<FlowKey, bool> m_denied;
   TimePoint m_nextPeriod;
   uint32_t m_busy = 0;
   double m_answerUs = 0;
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -17,6 +17,8 @@
 constexpr uint8_t kTriesIfFree = 2;
 /** A longer gap between two ticks is a pause of this process. */
 constexpr Duration kPauseLimit = Milliseconds(150);
+/** Time after which a list of agents from the store is known to be whole. */
+constexpr Duration kListSettles = Milliseconds(500);
 /** Time without any report after which this balancer is cut off. */
 constexpr Duration kCutOffLimit = Milliseconds(700);
 
@@ -262,7 +264,9 @@
   Search& search = m_searches[key];
   search.m_startedAt = aNow;
   search.m_held.push_back(std::move(held));
-  search.m_askedCount = agents.size();
+  search.m_ack = aHeader.m_ack;
+  search.m_isWhole = IsAgentListWhole(aNow);
+  search.m_unanswered = agents;
   for (uint32_t ip : agents) {
     Add(FlowBalancerAction::Query, FlowReason::Searched, key, aHeader.m_ack);
     m_steps.back().m_agentIp = ip;
@@ -274,14 +278,13 @@
                        uint32_t aAgentIp,
                        const FlowAnswer& aAnswer)
 {
-  (void)aNow;
   m_steps.clear();
   auto found = m_searches.find(aAnswer.m_flow);
   if (found == m_searches.end()) {
     return m_steps;
   }
   Search& search = found->second;
-  search.m_answerCount += 1;
+  std::erase(search.m_unanswered, aAgentIp);
   if (aAnswer.m_ownership == FlowOwnership::Yes) {
     EndSearch(aAnswer.m_flow, aAgentIp, FlowReason::Found);
     return m_steps;
@@ -289,20 +292,27 @@
   if (aAnswer.m_ownership == FlowOwnership::Possible) {
     search.m_possible.push_back(aAgentIp);
   }
-  if (search.m_answerCount >= search.m_askedCount) {
-    TryPossible(aAnswer.m_flow, search);
+  if (search.m_unanswered.empty()) {
+    TryPossible(aNow, aAnswer.m_flow, search);
   }
   return m_steps;
 }
 
 // An agent that may have the flow gets its packets; if its server sends them
-// back, the next search asks the others.
+// back, the next search asks the others. A flow that every agent denies is
+// lost, and its caller need not wait for its own timeout.
 void
-FlowBalancer::TryPossible(const FlowKey& aFlow, Search& aSearch)
+FlowBalancer::TryPossible(TimePoint aNow, const FlowKey& aFlow, Search& aSearch)
 {
   if (aSearch.m_possible.empty()) {
+    bool isLost = aSearch.m_unanswered.empty() && aSearch.m_isWhole &&
+                  IsAgentListWhole(aNow);
+    uint32_t ack = aSearch.m_ack;
     m_searches.erase(aFlow);
-    Add(FlowBalancerAction::Drop, FlowReason::Unowned, aFlow);
+    Add(isLost ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
+        FlowReason::Unowned,
+        aFlow,
+        ack);
     return;
   }
   std::uniform_int_distribution<size_t> any(0, aSearch.m_possible.size() - 1);
@@ -324,6 +334,24 @@
   }
 }
 
+void
+FlowBalancer::SetAgentsCurrent(TimePoint aNow, bool aAreCurrent)
+{
+  if (!aAreCurrent) {
+    m_agentsCurrentSince = std::nullopt;
+  } else if (!m_agentsCurrentSince) {
+    m_agentsCurrentSince = aNow;
+  }
+}
+
+// Another balancer may have placed a flow at an agent that this one has not
+// heard of yet.
+bool
+FlowBalancer::IsAgentListWhole(TimePoint aNow) const
+{
+  return m_agentsCurrentSince && aNow - *m_agentsCurrentSince > kListSettles;
+}
+
 void
 FlowBalancer::CountPause(TimePoint aNow)
 {
@@ -353,7 +381,7 @@
     }
   }
   for (const FlowKey& key : late) {
-    TryPossible(key, m_searches[key]);
+    TryPossible(aNow, key, m_searches[key]);
   }
   return m_steps;
 }
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -103,6 +103,9 @@
                                             uint32_t aAgentIp,
                                             const FlowAnswer& aAnswer);
 
+  /** Tells whether the list of agents is known to be the newest one. */
+  void SetAgentsCurrent(TimePoint aNow, bool aAreCurrent);
+
   /** To be called every kTick. */
   const std::vector<BalancerStep>& OnTick(TimePoint aNow);
 
@@ -136,8 +139,12 @@
     TimePoint m_startedAt;
     std::vector<std::vector<uint8_t>> m_held;
     std::vector<uint32_t> m_possible;
-    size_t m_askedCount = 0;
-    size_t m_answerCount = 0;
+    /** Agents that have not answered yet. */
+    std::vector<uint32_t> m_unanswered;
+    /** The caller's acknowledgement number, for a reset. */
+    uint32_t m_ack = 0;
+    /** The agents asked are all that the flow can be at. */
+    bool m_isWhole = false;
   };
 
   void PlaceOpening(TimePoint aNow,
@@ -152,7 +159,8 @@
   std::vector<uint32_t> AgentsToAsk(const Route& aRoute,
                                     uint32_t aExceptIp) const;
   void EndSearch(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
-  void TryPossible(const FlowKey& aFlow, Search& aSearch);
+  void TryPossible(TimePoint aNow, const FlowKey& aFlow, Search& aSearch);
+  bool IsAgentListWhole(TimePoint aNow) const;
   void Forward(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
   void Add(FlowBalancerAction aAction,
            FlowReason aReason,
@@ -171,6 +179,8 @@
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
   std::optional<TimePoint> m_lastTick;
   std::optional<TimePoint> m_lastHeardAny;
+  /** Since when the list of agents is the newest one. */
+  std::optional<TimePoint> m_agentsCurrentSince;
   TimePoint m_nextPeriod;
 };
 
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -271,6 +271,7 @@
 BalancerDaemon::OnTick()
 {
   TimePoint now = FlowLoop::Now();
+  m_core.SetAgentsCurrent(now, m_agentsFollower.IsConnected());
   Execute(m_core.OnTick(now), {});
   bool isReady = !m_stoppingSince && m_core.IsReady(now);
   if (isReady != m_isReady) {
--- a/packages/flownode/StoreFollower.h
+++ b/packages/flownode/StoreFollower.h
@@ -26,8 +26,8 @@
 
   void Start() { List(); }
 
-  /** True while the last call to the store succeeded. */
-  bool IsConnected() const { return m_failures == 0; }
+  /** True after a listing, while the last call to the store succeeded. */
+  bool IsConnected() const { return m_failures == 0 && m_revision > 0; }
 
 private:
   void List();
--- /dev/null
+++ b/test/FakeFlowNet.cpp
@@ -0,0 +1,534 @@
+#include "FakeFlowNet.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace bilberryfield {
+
+namespace {
+
+constexpr Duration kHeartbeatEvery = Milliseconds(800);
+constexpr uint32_t kFirstServerIp = 0x0A000001;
+constexpr uint32_t kFirstBalancerIp = 0x0A010001;
+constexpr uint32_t kFirstCallerIp = 0x64400001;
+constexpr uint16_t kPacketPort = 8000;
+constexpr uint16_t kRequestBytes = 100;
+constexpr uint16_t kAnswerBytes = 1000;
+
+// The cores pass packets on as bytes; here the bytes are the header itself.
+std::vector<uint8_t>
+ToBytes(const PacketHeader& aHeader)
+{
+  std::vector<uint8_t> bytes(sizeof(PacketHeader));
+  std::memcpy(bytes.data(), &aHeader, sizeof(PacketHeader));
+  return bytes;
+}
+
+PacketHeader
+FromBytes(PacketBytes aBytes)
+{
+  PacketHeader header;
+  std::memcpy(&header, aBytes.data(), sizeof(PacketHeader));
+  return header;
+}
+
+} // namespace
+
+FakeFlowNet::FakeFlowNet(uint64_t aSeed)
+  : m_random(aSeed)
+{
+  At(Duration(0), [this] { Tick(); });
+}
+
+void
+FakeFlowNet::At(Duration aDelay, std::function<void()> aRun)
+{
+  m_events.push({ m_now + aDelay, m_order++, std::move(aRun) });
+}
+
+void
+FakeFlowNet::Travel(std::function<void()> aRun)
+{
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(m_random) < m_loss) {
+    return;
+  }
+  std::uniform_int_distribution<int> delay(200, 1200);
+  At(Duration(delay(m_random)), std::move(aRun));
+}
+
+void
+FakeFlowNet::Pass(Duration aTime)
+{
+  TimePoint end = m_now + aTime;
+  while (!m_events.empty() && m_events.top().m_at <= end) {
+    Event event = m_events.top();
+    m_events.pop();
+    m_now = event.m_at;
+    event.m_run();
+  }
+  m_now = end;
+}
+
+size_t
+FakeFlowNet::AddBalancer(const std::string& aDomain)
+{
+  Node balancer;
+  balancer.m_ip = kFirstBalancerIp + static_cast<uint32_t>(m_balancers.size());
+  balancer.m_domain = aDomain;
+  StartBalancer(balancer);
+  m_balancers.push_back(std::move(balancer));
+  m_rotation.push_back(m_balancers.size() - 1);
+  return m_balancers.size() - 1;
+}
+
+void
+FakeFlowNet::StartBalancer(Node& aBalancer)
+{
+  aBalancer.m_core =
+    std::make_unique<FlowBalancer>(aBalancer.m_domain, m_random());
+  if (m_routes) {
+    aBalancer.m_core->SetRoutes(m_routes);
+  }
+  ListAgents(*aBalancer.m_core);
+}
+
+void
+FakeFlowNet::ListAgents(FlowBalancer& aCore)
+{
+  std::vector<AgentEntry> entries;
+  for (const auto& [ip, server] : m_servers) {
+    entries.push_back(
+      { server.m_service, server.m_domain, { ip, kPacketPort } });
+  }
+  aCore.Agents().SetListed(m_now, m_revision, entries);
+}
+
+uint32_t
+FakeFlowNet::AddServer(const std::string& aService,
+                       const std::string& aDomain,
+                       uint32_t aSlots)
+{
+  uint32_t ip = kFirstServerIp + static_cast<uint32_t>(m_servers.size());
+  Server& server = m_servers[ip];
+  server.m_ip = ip;
+  server.m_service = aService;
+  server.m_domain = aDomain;
+  server.m_slots = aSlots;
+  RestartAgent(ip);
+  Heartbeat(server);
+  m_revision += 1;
+  for (Node& balancer : m_balancers) {
+    ListAgents(*balancer.m_core);
+  }
+  return ip;
+}
+
+void
+FakeFlowNet::RestartAgent(uint32_t aIp)
+{
+  Server& server = m_servers.at(aIp);
+  FlowAgentOptions options;
+  options.m_service = server.m_service;
+  options.m_domain = server.m_domain;
+  options.m_packets = { aIp, kPacketPort };
+  options.m_heartbeatEvery = kHeartbeatEvery;
+  server.m_agent = std::make_unique<FlowAgent>(options, m_now);
+}
+
+void
+FakeFlowNet::RestartServer(uint32_t aIp)
+{
+  Server& server = m_servers.at(aIp);
+  server.m_born += 1;
+  server.m_sequence = 0;
+  server.m_held.clear();
+  server.m_waiting.clear();
+  server.m_running = 0;
+}
+
+void
+FakeFlowNet::KillServer(uint32_t aIp)
+{
+  m_servers.at(aIp).m_isGone = true;
+}
+
+void
+FakeFlowNet::Drain(uint32_t aIp)
+{
+  Server& server = m_servers.at(aIp);
+  server.m_isDraining = true;
+  server.m_agent->OnHeartbeat(m_now,
+                              { "s",
+                                server.m_born,
+                                ++server.m_sequence,
+                                server.m_service,
+                                {},
+                                server.m_slots,
+                                true,
+                                {} });
+}
+
+void
+FakeFlowNet::SilenceServer(uint32_t aIp)
+{
+  m_servers.at(aIp).m_isSilent = true;
+}
+
+void
+FakeFlowNet::Heartbeat(Server& aServer)
+{
+  if (!aServer.m_isSilent && !aServer.m_isGone) {
+    aServer.m_agent->OnHeartbeat(m_now,
+                                 { "s",
+                                   aServer.m_born,
+                                   ++aServer.m_sequence,
+                                   aServer.m_service,
+                                   {},
+                                   aServer.m_slots,
+                                   aServer.m_isDraining,
+                                   {} });
+  }
+  uint32_t ip = aServer.m_ip;
+  At(kHeartbeatEvery, [this, ip] { Heartbeat(m_servers.at(ip)); });
+}
+
+void
+FakeFlowNet::SetRoutes(const std::vector<Route>& aRoutes)
+{
+  RouteTable table;
+  table.m_version = ++m_version;
+  for (const Route& route : aRoutes) {
+    table.m_routes[route.m_address] = route;
+  }
+  m_routes = std::make_shared<const RouteTable>(std::move(table));
+  for (Node& balancer : m_balancers) {
+    balancer.m_core->SetRoutes(m_routes);
+  }
+}
+
+void
+FakeFlowNet::SetRotation(std::vector<size_t> aBalancers)
+{
+  m_rotation = std::move(aBalancers);
+}
+
+void
+FakeFlowNet::RestartBalancer(size_t aBalancer)
+{
+  StartBalancer(m_balancers[aBalancer]);
+}
+
+size_t
+FakeFlowNet::BalancerAt(uint32_t aIp) const
+{
+  return aIp - kFirstBalancerIp;
+}
+
+void
+FakeFlowNet::Tick()
+{
+  for (auto& [ip, server] : m_servers) {
+    if (server.m_isGone) {
+      continue;
+    }
+    for (UnansweredOpening& opening : server.m_agent->TakeUnanswered(m_now)) {
+      HandBackTo(server,
+                 opening.m_balancerIp,
+                 HandBack::Silent,
+                 FromBytes({ opening.m_bytes.data(), opening.m_bytes.size() }));
+    }
+    for (const ReportTo& report : server.m_agent->OnTick(m_now)) {
+      Travel([this, report, agentIp = ip] {
+        size_t balancer = BalancerAt(report.m_balancerIp);
+        m_balancers[balancer].m_core->Agents().OnReport(
+          m_now, agentIp, report.m_report);
+      });
+    }
+  }
+  for (size_t i = 0; i < m_balancers.size(); ++i) {
+    m_balancers[i].m_core->SetAgentsCurrent(m_now, true);
+    Run(i, m_balancers[i].m_core->OnTick(m_now), {});
+    Subscribe message;
+    message.m_domain = m_balancers[i].m_domain;
+    for (auto& [ip, server] : m_servers) {
+      if (!server.m_isGone) {
+        server.m_agent->OnSubscribe(m_now, m_balancers[i].m_ip, message);
+      }
+    }
+  }
+  At(FlowAgent::kTick, [this] { Tick(); });
+}
+
+size_t
+FakeFlowNet::OpenFlow(const Endpoint& aService)
+{
+  size_t number = m_flows.size();
+  FakeFlow flow;
+  flow.m_key = { { kFirstCallerIp + static_cast<uint32_t>(number / 1000),
+                   static_cast<uint16_t>(1024 + number % 1000) },
+                 aService };
+  flow.m_seq = static_cast<uint32_t>(m_random());
+  flow.m_openedAt = m_now;
+  m_numbers[flow.m_key] = number;
+  m_flows.push_back(flow);
+  CallerSends(number, kSyn, 0);
+  CallerRepeats(number, Milliseconds(200));
+  return number;
+}
+
+// Copies of the opening packet, later of the request, until an answer comes.
+void
+FakeFlowNet::CallerRepeats(size_t aFlow, Duration aAfter)
+{
+  static constexpr Duration kLast = Milliseconds(1600);
+  At(aAfter, [this, aFlow, aAfter] {
+    const FakeFlow& flow = m_flows[aFlow];
+    if (flow.m_state == FlowState::Opening) {
+      CallerSends(aFlow, kSyn, 0);
+    } else if (flow.m_state == FlowState::Open) {
+      CallerSends(aFlow, kAck, kRequestBytes);
+    } else {
+      return;
+    }
+    if (aAfter < kLast) {
+      CallerRepeats(aFlow, 2 * aAfter);
+    }
+  });
+}
+
+void
+FakeFlowNet::CallerSends(size_t aFlow, uint8_t aFlags, uint16_t aLength)
+{
+  FakeFlow& flow = m_flows[aFlow];
+  PacketHeader header;
+  header.m_source = flow.m_key.m_caller;
+  header.m_destination = flow.m_key.m_service;
+  header.m_flags = aFlags;
+  header.m_seq = flow.m_seq + ((aFlags & kSyn) != 0 ? 0 : 1);
+  header.m_ack = (aFlags & kSyn) != 0 ? flow.m_sends : flow.m_serverSeq + 1;
+  header.m_length = aLength;
+  flow.m_sends += 1;
+  if (m_rotation.empty()) {
+    return;
+  }
+  // The fabric's hash, over the balancers in rotation.
+  size_t hash = flow.m_key.m_caller.m_port * size_t{ 2654435761U };
+  size_t balancer = m_rotation[(hash >> 8) % m_rotation.size()];
+  Travel([this, balancer, header] {
+    std::vector<uint8_t> bytes = ToBytes(header);
+    Run(balancer,
+        m_balancers[balancer].m_core->OnCallerPacket(m_now, header, bytes),
+        header);
+  });
+}
+
+void
+FakeFlowNet::Run(size_t aBalancer,
+                 const std::vector<BalancerStep>& aSteps,
+                 const PacketHeader& aHeader)
+{
+  uint32_t balancerIp = m_balancers[aBalancer].m_ip;
+  for (const BalancerStep& step : aSteps) {
+    PacketHeader header =
+      step.m_held.empty() ? aHeader : FromBytes(step.m_held);
+    header.m_tag = step.m_tag;
+    header.m_mark = step.m_mark;
+    if (step.m_action == FlowBalancerAction::Forward) {
+      Travel([this, ip = step.m_packets.m_ip, header, balancerIp] {
+        ToAgent(ip, header, balancerIp);
+      });
+    } else if (step.m_action == FlowBalancerAction::Reset) {
+      PacketHeader reset;
+      reset.m_source = step.m_flow.m_service;
+      reset.m_destination = step.m_flow.m_caller;
+      reset.m_flags = kReset;
+      Travel([this, reset] { ToCaller(reset); });
+    } else if (step.m_action == FlowBalancerAction::Query) {
+      FlowQuery query{ step.m_flow, step.m_number };
+      Travel([this, ip = step.m_agentIp, query, aBalancer] {
+        Server& server = m_servers.at(ip);
+        if (server.m_isGone) {
+          return;
+        }
+        FlowAnswer answer = server.m_agent->OnQuery(m_now, query);
+        Travel([this, ip, answer, aBalancer] {
+          FlowBalancer& core = *m_balancers[aBalancer].m_core;
+          Run(aBalancer, core.OnAnswer(m_now, ip, answer), {});
+        });
+      });
+    }
+  }
+}
+
+void
+FakeFlowNet::ToAgent(uint32_t aIp, PacketHeader aHeader, uint32_t aBalancerIp)
+{
+  Server& server = m_servers.at(aIp);
+  if (server.m_isGone) {
+    return;
+  }
+  std::vector<uint8_t> bytes = ToBytes(aHeader);
+  AgentVerdict verdict =
+    server.m_agent->OnBalancerPacket(m_now, aHeader, bytes, aBalancerIp);
+  FromAgent(server, verdict, aHeader, aBalancerIp);
+}
+
+void
+FakeFlowNet::FromAgent(Server& aServer,
+                       const AgentVerdict& aVerdict,
+                       PacketHeader aHeader,
+                       uint32_t aBalancerIp)
+{
+  switch (aVerdict.m_action) {
+    case FlowAgentAction::Deliver:
+      aHeader.m_tag = aBalancerIp;
+      ToServer(aServer, aHeader);
+      break;
+    case FlowAgentAction::ToCaller:
+      Travel([this, aHeader] { ToCaller(aHeader); });
+      break;
+    case FlowAgentAction::HandBack:
+      HandBackTo(aServer, aVerdict.m_balancerIp, aVerdict.m_reason, aHeader);
+      break;
+    case FlowAgentAction::Reset: {
+      PacketHeader reset;
+      reset.m_source = aHeader.m_destination;
+      reset.m_destination = aHeader.m_source;
+      reset.m_flags = kReset;
+      Travel([this, reset] { ToCaller(reset); });
+      break;
+    }
+    case FlowAgentAction::Drop:
+      break;
+  }
+}
+
+void
+FakeFlowNet::HandBackTo(Server& aServer,
+                        uint32_t aBalancerIp,
+                        HandBack aReason,
+                        PacketHeader aHeader)
+{
+  m_handBacks += 1;
+  aHeader.m_tag = aServer.m_agent->Load().Pack();
+  aHeader.m_flags &= static_cast<uint8_t>(~kBounced);
+  Travel([this, aHeader, aBalancerIp, aReason, ip = aServer.m_ip] {
+    size_t balancer = BalancerAt(aBalancerIp);
+    std::vector<uint8_t> bytes = ToBytes(aHeader);
+    FlowBalancer& core = *m_balancers[balancer].m_core;
+    Run(
+      balancer, core.OnHandedBack(m_now, aHeader, bytes, ip, aReason), aHeader);
+  });
+}
+
+void
+FakeFlowNet::ToServer(Server& aServer, const PacketHeader& aHeader)
+{
+  if (aServer.m_isSilent) {
+    return;
+  }
+  FlowKey key = aHeader.FlowFromCaller();
+  if (aHeader.IsOpening()) {
+    aServer.m_openings += 1;
+    Held& held = aServer.m_held[key];
+    if (held.m_seq == 0) {
+      held.m_seq = static_cast<uint32_t>(m_random()) | 1U;
+    }
+    return FromServer(aServer, key, kSyn | kAck, held.m_seq, 0);
+  }
+  FakeFlow& flow = m_flows[m_numbers.at(key)];
+  auto found = aServer.m_held.find(key);
+  bool isHeld = found != aServer.m_held.end() &&
+                aHeader.m_ack - found->second.m_seq - 1 < kAnswerBytes + 2;
+  if (!isHeld) {
+    if (flow.m_server != 0 && flow.m_server != aServer.m_ip) {
+      flow.m_strayPackets += 1;
+    }
+    PacketHeader bounced = aHeader;
+    bounced.m_flags |= kBounced;
+    bounced.m_mark = 0;
+    AgentVerdict verdict = aServer.m_agent->OnServerPacket(m_now, bounced);
+    return FromAgent(aServer, verdict, bounced, bounced.m_tag);
+  }
+  found->second.m_isOpen = true;
+  if (flow.m_server == 0) {
+    flow.m_server = aServer.m_ip;
+  }
+  if (aHeader.m_length > 0 && !found->second.m_hasRequest) {
+    found->second.m_hasRequest = true;
+    aServer.m_waiting.push_back(key);
+    RunWaiting(aServer);
+  }
+}
+
+void
+FakeFlowNet::RunWaiting(Server& aServer)
+{
+  while (aServer.m_running < aServer.m_slots && !aServer.m_waiting.empty()) {
+    FlowKey key = aServer.m_waiting.front();
+    aServer.m_waiting.pop_front();
+    aServer.m_running += 1;
+    At(m_work, [this, key, ip = aServer.m_ip, born = aServer.m_born] {
+      Server& server = m_servers.at(ip);
+      if (server.m_born != born || server.m_isGone || server.m_isSilent) {
+        return;
+      }
+      server.m_running -= 1;
+      FromServer(
+        server, key, kAck | kFin, server.m_held[key].m_seq + 1, kAnswerBytes);
+      RunWaiting(server);
+    });
+  }
+}
+
+void
+FakeFlowNet::FromServer(Server& aServer,
+                        const FlowKey& aKey,
+                        uint8_t aFlags,
+                        uint32_t aSeq,
+                        uint16_t aLength)
+{
+  PacketHeader header;
+  header.m_source = aKey.m_service;
+  header.m_destination = aKey.m_caller;
+  header.m_flags = aFlags;
+  header.m_seq = aSeq;
+  header.m_length = aLength;
+  FromAgent(aServer, aServer.m_agent->OnServerPacket(m_now, header), header, 0);
+}
+
+void
+FakeFlowNet::ToCaller(const PacketHeader& aHeader)
+{
+  size_t number = m_numbers.at(aHeader.FlowFromServer());
+  FakeFlow& flow = m_flows[number];
+  if (flow.m_state == FlowState::Answered) {
+    return;
+  }
+  if (aHeader.Has(kReset)) {
+    flow.m_state = FlowState::Reset;
+  } else if (aHeader.Has(kSyn) && flow.m_state == FlowState::Opening) {
+    flow.m_state = FlowState::Open;
+    flow.m_serverSeq = aHeader.m_seq;
+    CallerSends(number, kAck, kRequestBytes);
+    CallerRepeats(number, Milliseconds(200));
+  } else if (aHeader.m_length > 0 && flow.m_state == FlowState::Open) {
+    flow.m_state = FlowState::Answered;
+    flow.m_answeredAt = m_now;
+  }
+}
+
+uint32_t
+FakeFlowNet::OpeningsAt(uint32_t aIp) const
+{
+  return m_servers.at(aIp).m_openings;
+}
+
+const std::string&
+FakeFlowNet::ServiceOf(uint32_t aIp) const
+{
+  return m_servers.at(aIp).m_service;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/test/FakeFlowNet.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "FlowAgent.h"
+#include "FlowBalancer.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace bilberryfield {
+
+/** How a caller's flow stands. */
+enum class FlowState : uint8_t
+{
+  Opening,
+  Open,
+  Answered,
+  Reset,
+};
+
+/** One caller's flow, and what the test wants to know of it. */
+struct FakeFlow
+{
+  FlowKey m_key;
+  FlowState m_state = FlowState::Opening;
+  uint32_t m_seq = 0;
+  /** Sequence number of the server that the caller chose. */
+  uint32_t m_serverSeq = 0;
+  TimePoint m_openedAt;
+  TimePoint m_answeredAt;
+  /** Address of the server that has the end of the handshake; 0 before. */
+  uint32_t m_server = 0;
+  /** Packets that reached another server after that. */
+  uint32_t m_strayPackets = 0;
+  uint32_t m_sends = 0;
+};
+
+/**
+ * Balancer and agent cores in virtual time, with fake callers and servers that
+ * follow the flow protocol. Packets are a header and no data.
+ */
+class FakeFlowNet
+{
+public:
+  explicit FakeFlowNet(uint64_t aSeed);
+
+  size_t AddBalancer(const std::string& aDomain);
+  /** Adds a server and its agent; returns their address. */
+  uint32_t AddServer(const std::string& aService,
+                     const std::string& aDomain,
+                     uint32_t aSlots = 4);
+  /** Puts routes into force at every balancer, after those of before. */
+  void SetRoutes(const std::vector<Route>& aRoutes);
+
+  /** The fabric sends to these balancers only. */
+  void SetRotation(std::vector<size_t> aBalancers);
+
+  /** A process starts anew and has forgotten everything. */
+  void RestartBalancer(size_t aBalancer);
+  void RestartAgent(uint32_t aIp);
+  void RestartServer(uint32_t aIp);
+  /** The server and its agent are gone without a word. */
+  void KillServer(uint32_t aIp);
+  void Drain(uint32_t aIp);
+  /** The server stops answering, its agent goes on. */
+  void SilenceServer(uint32_t aIp);
+  void SetLoss(double aLoss) { m_loss = aLoss; }
+
+  /** A caller opens a flow with one request; the number names it. */
+  size_t OpenFlow(const Endpoint& aService);
+
+  void Pass(Duration aTime);
+
+  const FakeFlow& Flow(size_t aNumber) const { return m_flows[aNumber]; }
+  const std::vector<FakeFlow>& Flows() const { return m_flows; }
+  FlowBalancer& Balancer(size_t aBalancer)
+  {
+    return *m_balancers[aBalancer].m_core;
+  }
+  TimePoint Now() const { return m_now; }
+
+  /** Opening packets that a server took, by its address. */
+  uint32_t OpeningsAt(uint32_t aIp) const;
+  const std::string& ServiceOf(uint32_t aIp) const;
+  /** Packets that agents handed back to balancers so far. */
+  uint64_t HandBacks() const { return m_handBacks; }
+
+  /** Time that a request takes at a server. */
+  Duration m_work = Milliseconds(20);
+
+private:
+  struct Held
+  {
+    uint32_t m_seq = 0;
+    bool m_isOpen = false;
+    bool m_hasRequest = false;
+  };
+  struct Server
+  {
+    uint32_t m_ip = 0;
+    std::string m_service;
+    std::string m_domain;
+    uint32_t m_slots = 4;
+    uint64_t m_born = 1;
+    uint64_t m_sequence = 0;
+    bool m_isDraining = false;
+    bool m_isSilent = false;
+    bool m_isGone = false;
+    uint32_t m_running = 0;
+    uint32_t m_openings = 0;
+    std::deque<FlowKey> m_waiting;
+    std::map<FlowKey, Held> m_held;
+    std::unique_ptr<FlowAgent> m_agent;
+  };
+  struct Node
+  {
+    uint32_t m_ip = 0;
+    std::string m_domain;
+    std::unique_ptr<FlowBalancer> m_core;
+  };
+  struct Event
+  {
+    TimePoint m_at;
+    uint64_t m_order = 0;
+    std::function<void()> m_run;
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
+    }
+  };
+
+  void At(Duration aDelay, std::function<void()> aRun);
+  void Travel(std::function<void()> aRun);
+  void Tick();
+  void Heartbeat(Server& aServer);
+  void ListAgents(FlowBalancer& aCore);
+  void StartBalancer(Node& aBalancer);
+  void CallerSends(size_t aFlow, uint8_t aFlags, uint16_t aLength);
+  void CallerRepeats(size_t aFlow, Duration aAfter);
+  void ToCaller(const PacketHeader& aHeader);
+  void Run(size_t aBalancer,
+           const std::vector<BalancerStep>& aSteps,
+           const PacketHeader& aHeader);
+  void ToAgent(uint32_t aIp, PacketHeader aHeader, uint32_t aBalancerIp);
+  void FromAgent(Server& aServer,
+                 const AgentVerdict& aVerdict,
+                 PacketHeader aHeader,
+                 uint32_t aBalancerIp);
+  void HandBackTo(Server& aServer,
+                  uint32_t aBalancerIp,
+                  HandBack aReason,
+                  PacketHeader aHeader);
+  void ToServer(Server& aServer, const PacketHeader& aHeader);
+  void FromServer(Server& aServer,
+                  const FlowKey& aKey,
+                  uint8_t aFlags,
+                  uint32_t aSeq,
+                  uint16_t aLength);
+  void RunWaiting(Server& aServer);
+  size_t BalancerAt(uint32_t aIp) const;
+
+  std::mt19937_64 m_random;
+  TimePoint m_now{ Seconds(1000) };
+  uint64_t m_order = 0;
+  uint64_t m_revision = 1;
+  uint64_t m_version = 0;
+  double m_loss = 0;
+  uint64_t m_handBacks = 0;
+  std::priority_queue<Event> m_events;
+  std::vector<Node> m_balancers;
+  std::vector<size_t> m_rotation;
+  std::map<uint32_t, Server> m_servers;
+  std::vector<FakeFlow> m_flows;
+  std::map<FlowKey, size_t> m_numbers;
+  RouteTablePointer m_routes;
+};
+
+} // namespace bilberryfield
--- /dev/null
+++ b/test/correctness/LostFlows.cpp
@@ -0,0 +1,61 @@
+#include "FakeFlowNet.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+const Endpoint kLookups{ 0xC6120001, 443 };
+
+struct LostFlowCase
+{
+  FakeFlowNet m_net{ 1 };
+  size_t m_flow = 0;
+  std::vector<uint32_t> m_servers;
+
+  // A flow whose request runs when its server and all agents start anew.
+  LostFlowCase()
+  {
+    for (int i = 0; i < 2; ++i) {
+      m_net.AddBalancer("a");
+    }
+    for (int i = 0; i < 4; ++i) {
+      m_servers.push_back(m_net.AddServer("desk", "a"));
+    }
+    m_net.SetRoutes({ { "r", kLookups, { { "desk", 1 } }, 1, {} } });
+    m_net.Pass(Seconds(2));
+    m_net.m_work = Seconds(1);
+    m_flow = m_net.OpenFlow(kLookups);
+    m_net.Pass(Milliseconds(50));
+    for (uint32_t ip : m_servers) {
+      m_net.RestartServer(ip);
+      m_net.RestartAgent(ip);
+    }
+    m_net.RestartBalancer(0);
+    m_net.RestartBalancer(1);
+  }
+};
+
+} // namespace
+
+// After all processes were killed, no agent can know whether its server has a
+// flow, so packets are tried at one after the other.
+Test(LostFlows, DoNotGoRoundBetweenAgents)
+{
+  LostFlowCase lost;
+  lost.m_net.Pass(Seconds(8));
+  // Each agent hands a packet back once at most.
+  uint64_t most = lost.m_net.Flow(lost.m_flow).m_sends * lost.m_servers.size();
+  cr_assert_leq(lost.m_net.HandBacks(),
+                most,
+                "%lu packets were handed back",
+                lost.m_net.HandBacks());
+}
+
+Test(LostFlows, AreResetOnceEveryAgentDeniesThem)
+{
+  LostFlowCase lost;
+  lost.m_net.Pass(Seconds(3));
+  cr_assert(lost.m_net.Flow(lost.m_flow).m_state == FlowState::Reset);
+}
