--- a/packages/control/Bilberryd.cpp
+++ b/packages/control/Bilberryd.cpp
@@ -68,9 +68,37 @@
   return kSuccess;
 }
 
+// Addresses stay as they were at the start; a changed log level takes effect.
+void
+Reload(const std::string& aPath)
+{
+  Result<nlohmann::json> document = ReadJsonFile(aPath);
+  if (!document) {
+    Log(LogLevel::Error,
+        "reload-failed",
+        { { "peer", aPath }, { "detail", document.error().m_detail } });
+    return;
+  }
+  FlowSettingsParse settings = ParseFlowSettings(*document);
+  if (!settings) {
+    std::ostringstream first;
+    first << settings.error().front();
+    Log(LogLevel::Error,
+        "reload-failed",
+        { { "peer", aPath },
+          { "mistakes", settings.error().size() },
+          { "detail", first.str() } });
+    return;
+  }
+  SetLogLevel(settings->m_logLevel);
+  Log(LogLevel::Info,
+      "reloaded",
+      { { "log_level", NameOf(kLogLevelNames, settings->m_logLevel) } });
+}
+
 template<typename Daemon>
 int
-RunDaemon(const FlowSettings& aSettings)
+RunDaemon(const std::string& aPath, const FlowSettings& aSettings)
 {
   sigset_t signals = BlockStopSignals();
   Daemon daemon(aSettings);
@@ -82,8 +110,10 @@
   Log(LogLevel::Info,
       "started",
       { { "role", NameOf(kFlowRoleNames, aSettings.m_role) } });
-  std::thread([&daemon, signals] {
-    WaitForStop(signals);
+  std::thread([&daemon, signals, aPath] {
+    while (WaitForSignal(signals) == SignalRequest::Reload) {
+      Reload(aPath);
+    }
     daemon.BeginShutdown();
   }).detach();
   daemon.Run();
@@ -115,8 +145,8 @@
   }
   StartLog(settings->m_logLevel, settings->m_id);
   return settings->m_role == FlowRole::Agent
-           ? RunDaemon<AgentDaemon>(*settings)
-           : RunDaemon<BalancerDaemon>(*settings);
+           ? RunDaemon<AgentDaemon>(aPath, *settings)
+           : RunDaemon<BalancerDaemon>(aPath, *settings);
 }
 
 } // namespace
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -61,8 +61,9 @@
 }
 
 AgentVerdict
-FlowAgent::GiveBack(HandBack aReason, uint32_t aBalancerIp) const
+FlowAgent::GiveBack(HandBack aReason, uint32_t aBalancerIp)
 {
+  m_handedBack[static_cast<size_t>(aReason)] += 1;
   return { FlowAgentAction::HandBack, aReason, aBalancerIp };
 }
 
@@ -136,6 +137,7 @@
   Flow& flow = m_flows.Insert(key, {});
   flow.m_busySince = aNow;
   m_busy += 1;
+  m_openingCount += 1;
   m_busyEntries.push_back({ aNow, key });
   m_openings.push_back(
     { aNow, { key, aBalancerIp, { aBytes.begin(), aBytes.end() } } });
@@ -208,6 +210,7 @@
   if (!isBusy && wasBusy) {
     m_busy -= 1;
     if (aPhase == Phase::Answering) {
+      m_answerTimes.Add(aNow - aFlow.m_busySince);
       auto sample = static_cast<double>((aNow - aFlow.m_busySince).count());
       m_answerUs = m_answerUs == 0
                      ? sample
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "GenerationMap.h"
+#include "LatencyHistogram.h"
 #include "ServerTracker.h"
 
 #include <absl/container/inlined_vector.h>
+#include <array>
 #include <deque>
 #include <map>
 
@@ -121,6 +123,15 @@
   bool IsMissedInStore() const { return m_isMissedInStore; }
   void ClearMissedInStore() { m_isMissedInStore = false; }
 
+  /** Time from a flow's first packet, or a request, to its answer. */
+  const LatencyHistogram& AnswerTimes() const { return m_answerTimes; }
+  /** Packets that were handed back, by reason. */
+  uint64_t HandedBack(HandBack aReason) const
+  {
+    return m_handedBack[static_cast<size_t>(aReason)];
+  }
+  uint64_t Openings() const { return m_openingCount; }
+
   size_t FlowCount() const { return m_flows.Size(); }
   uint32_t BusyFlows() const { return m_busy; }
 
@@ -169,7 +180,7 @@
                          PacketBytes aBytes,
                          uint32_t aBalancerIp);
   AgentVerdict OnBounced(const PacketHeader& aHeader);
-  AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp) const;
+  AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp);
   bool MayMissFlows(TimePoint aNow) const;
   static bool IsOtherServers(const Flow& aFlow, uint32_t aAck);
   void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
@@ -187,6 +198,9 @@
   TimePoint m_nextPeriod;
   uint32_t m_busy = 0;
   double m_answerUs = 0;
+  LatencyHistogram m_answerTimes;
+  std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
+  uint64_t m_openingCount = 0;
   std::deque<BusyEntry> m_busyEntries;
   std::deque<OpeningEntry> m_openings;
   std::map<uint32_t, Subscriber> m_subscribers;
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -170,10 +170,25 @@
   m_agents.OnPlaced(agentIp);
   Forward(
     key, agentIp, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
+  NoteInputs(aNow, candidates[choice->m_index], candidates.size());
   m_steps.back().m_mark =
     static_cast<uint32_t>(mayQueue ? OpenMode::Queue : OpenMode::IfFree);
 }
 
+void
+FlowBalancer::NoteInputs(TimePoint aNow,
+                         const PlacementCandidate& aChosen,
+                         size_t aCount)
+{
+  BalancerStep& step = m_steps.back();
+  step.m_candidates = static_cast<uint32_t>(aCount);
+  step.m_busy = aChosen.m_busy;
+  const KnownAgent* agent = m_agents.Find(aChosen.m_agentIp);
+  if (agent && agent->m_heardAt) {
+    step.m_loadAge = aNow - *agent->m_heardAt;
+  }
+}
+
 const std::vector<BalancerStep>&
 FlowBalancer::OnHandedBack(TimePoint aNow,
                            const PacketHeader& aHeader,
@@ -286,7 +301,7 @@
   Search& search = found->second;
   std::erase(search.m_unanswered, aAgentIp);
   if (aAnswer.m_ownership == FlowOwnership::Yes) {
-    EndSearch(aAnswer.m_flow, aAgentIp, FlowReason::Found);
+    EndSearch(aNow, aAnswer.m_flow, aAgentIp, FlowReason::Found);
     return m_steps;
   }
   if (aAnswer.m_ownership == FlowOwnership::Possible) {
@@ -316,15 +331,17 @@
     return;
   }
   std::uniform_int_distribution<size_t> any(0, aSearch.m_possible.size() - 1);
-  EndSearch(aFlow, aSearch.m_possible[any(m_random)], FlowReason::Tried);
+  EndSearch(aNow, aFlow, aSearch.m_possible[any(m_random)], FlowReason::Tried);
 }
 
 void
-FlowBalancer::EndSearch(const FlowKey& aFlow,
+FlowBalancer::EndSearch(TimePoint aNow,
+                        const FlowKey& aFlow,
                         uint32_t aAgentIp,
                         FlowReason aReason)
 {
   auto found = m_searches.find(aFlow);
+  m_searchTimes.Add(aNow - found->second.m_startedAt);
   std::vector<std::vector<uint8_t>> held = std::move(found->second.m_held);
   m_searches.erase(found);
   m_flows.Insert(aFlow, { aAgentIp, 0, false, 0, {} });
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -2,6 +2,7 @@
 
 #include "AgentList.h"
 #include "GenerationMap.h"
+#include "LatencyHistogram.h"
 #include "RouteTable.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -19,6 +20,13 @@
   Drop,
 };
 
+inline constexpr NameTable<FlowBalancerAction, 4> kFlowBalancerActionNames = {
+  { { FlowBalancerAction::Forward, "forward" },
+    { FlowBalancerAction::Reset, "reset" },
+    { FlowBalancerAction::Query, "query" },
+    { FlowBalancerAction::Drop, "drop" } }
+};
+
 /** Why a flow was placed, refused or dropped. */
 enum class FlowReason : uint8_t
 {
@@ -65,6 +73,12 @@
   uint32_t m_mark = 0;
   /** Sequence number of a reset; acknowledgement number of a query. */
   uint32_t m_number = 0;
+  /** Servers that could have taken a new flow. */
+  uint32_t m_candidates = 0;
+  /** Busy flows at the chosen server, as far as known. */
+  uint32_t m_busy = 0;
+  /** Age of that knowledge; nothing before the first report. */
+  std::optional<Duration> m_loadAge;
   /** A packet that was held; when empty, the packet at hand is meant. */
   std::vector<uint8_t> m_held;
 };
@@ -113,6 +127,8 @@
   bool IsReady(TimePoint aNow) const;
 
   size_t FlowCount() const { return m_flows.Size(); }
+  /** Time in which flows that this balancer did not know were found. */
+  const LatencyHistogram& SearchTimes() const { return m_searchTimes; }
   uint64_t Counted(FlowReason aReason) const
   {
     return m_counts[static_cast<size_t>(aReason)];
@@ -147,6 +163,10 @@
     bool m_isWhole = false;
   };
 
+  /** What the last step was decided on, for the log. */
+  void NoteInputs(TimePoint aNow,
+                  const PlacementCandidate& aChosen,
+                  size_t aCount);
   void PlaceOpening(TimePoint aNow,
                     const PacketHeader& aHeader,
                     const Route& aRoute,
@@ -158,7 +178,10 @@
                  uint32_t aExceptIp);
   std::vector<uint32_t> AgentsToAsk(const Route& aRoute,
                                     uint32_t aExceptIp) const;
-  void EndSearch(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
+  void EndSearch(TimePoint aNow,
+                 const FlowKey& aFlow,
+                 uint32_t aAgentIp,
+                 FlowReason aReason);
   void TryPossible(TimePoint aNow, const FlowKey& aFlow, Search& aSearch);
   bool IsAgentListWhole(TimePoint aNow) const;
   void Forward(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
@@ -175,6 +198,7 @@
   absl::flat_hash_map<Endpoint, std::vector<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
   absl::flat_hash_map<FlowKey, Search> m_searches;
+  LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
   std::optional<TimePoint> m_lastTick;
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -4,6 +4,7 @@
 #include "HeartbeatCodec.h"
 #include "HttpPaths.h"
 #include "Log.h"
+#include "MetricsText.h"
 #include "PacketCodec.h"
 
 namespace bilberryfield {
@@ -39,10 +40,15 @@
       m_loop,
       m_store,
       { aSettings.m_service, aSettings.m_domain, aSettings.m_packetListen })
-  , m_heartbeats({ 1 }, [this](HttpIncoming aRequest, HttpReply aReply) {
-    m_loop.Post([this, request = std::move(aRequest), reply = aReply] {
-      reply(OnServerCall(request));
-    });
+  , m_heartbeats({ 1 },
+                 [this](HttpIncoming aRequest, HttpReply aReply) {
+                   m_loop.Post(
+                     [this, request = std::move(aRequest), reply = aReply] {
+                       reply(OnServerCall(request));
+                     });
+                 })
+  , m_metrics({ 1 }, [this](const HttpIncoming&, const HttpReply& aReply) {
+    m_loop.Post([this, aReply] { aReply(Metrics()); });
   })
 {
 }
@@ -87,7 +93,13 @@
   if (!listening) {
     return tl::unexpected(listening.error());
   }
+  Result<uint16_t> metrics =
+    m_metrics.Start(ToText(m_settings.m_metricsListen));
+  if (!metrics) {
+    return tl::unexpected(metrics.error());
+  }
   m_loop.Every(FlowAgent::kTick, [this] { OnTick(); });
+  m_loop.Every(Seconds(1), LogWhatWasLeftOut);
   return {};
 }
 
@@ -142,12 +154,51 @@
   std::optional<PacketHeader> header = DecodeHeader(aBytes);
   bool isForged = !header || (header->Has(kSyn) && header->Has(kAck));
   if (isForged) {
+    m_malformed += 1;
     return;
   }
-  Execute(m_core.OnBalancerPacket(FlowLoop::Now(), *header, aBytes, aFrom.m_ip),
-          *header,
-          aBytes,
-          aFrom.m_ip);
+  AgentVerdict verdict =
+    m_core.OnBalancerPacket(FlowLoop::Now(), *header, aBytes, aFrom.m_ip);
+  LogOpening(verdict, *header, aFrom.m_ip);
+  Execute(verdict, *header, aBytes, aFrom.m_ip);
+}
+
+// One line for each flow that the server gets, and for each packet that it
+// does not get.
+void
+AgentDaemon::LogOpening(const AgentVerdict& aVerdict,
+                        const PacketHeader& aHeader,
+                        uint32_t aBalancerIp)
+{
+  bool isHandedBack = aVerdict.m_action == FlowAgentAction::HandBack;
+  if (!aHeader.IsOpening() && !isHandedBack) {
+    return;
+  }
+  Log(LogLevel::Info,
+      isHandedBack ? "handing-back" : "opening",
+      { { "flow", ToText(aHeader.FlowFromCaller()) },
+        { "balancer", IpToText(aBalancerIp) },
+        { "reason", NameOf(kHandBackNames, aVerdict.m_reason) },
+        { "busy", m_core.BusyFlows() },
+        { "slots", m_core.Load().m_slots } });
+}
+
+HttpOutgoing
+AgentDaemon::Metrics() const
+{
+  MetricsText text;
+  text.AddEach("bilberry_handed_back_total",
+               kHandBackNames,
+               [this](HandBack aReason) { return m_core.HandedBack(aReason); });
+  text.Add("bilberry_openings_total", m_core.Openings());
+  text.Add("bilberry_flows", m_core.FlowCount());
+  text.Add("bilberry_busy_flows", m_core.BusyFlows());
+  text.Add("bilberry_malformed_packets_total", m_malformed);
+  text.Add("bilberry_send_failures_total",
+           m_packets->SendFailures() + m_server->SendFailures() +
+             m_control->SendFailures());
+  text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
+  return { kOk, {}, "text/plain", text.Text() };
 }
 
 void
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -38,6 +38,10 @@
   void SendControl(uint32_t aIp, const FlowMessage& aMessage);
   HttpOutgoing OnServerCall(const HttpIncoming& aRequest);
   void OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+  HttpOutgoing Metrics() const;
+  void LogOpening(const AgentVerdict& aVerdict,
+                  const PacketHeader& aHeader,
+                  uint32_t aBalancerIp);
   void OnTick();
   void ContinueShutdown();
 
@@ -47,6 +51,8 @@
   FlowAgent m_core;
   AgentRegistrar m_registrar;
   HttpServer m_heartbeats;
+  HttpServer m_metrics;
+  uint64_t m_malformed = 0;
   FlowLoop::Socket* m_packets = nullptr;
   FlowLoop::Socket* m_server = nullptr;
   FlowLoop::Socket* m_control = nullptr;
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -4,6 +4,7 @@
 #include "FlowCodec.h"
 #include "HttpPaths.h"
 #include "Log.h"
+#include "MetricsText.h"
 #include "OperatorConfig.h"
 #include "PacketCodec.h"
 #include "Rendezvous.h"
@@ -44,6 +45,10 @@
                   bool isReady = aRequest.m_path == kReadinessPath && m_isReady;
                   aReply({ isReady ? kOk : kUnavailable, {}, "", "" });
                 })
+  , m_metrics({ 1 },
+              [this](const HttpIncoming&, const HttpReply& aReply) {
+                m_loop.Post([this, aReply] { aReply(Metrics()); });
+              })
   , m_admin([this](std::function<void()> aFunction) {
     m_loop.Post(std::move(aFunction));
   })
@@ -87,6 +92,11 @@
   if (!readiness) {
     return tl::unexpected(readiness.error());
   }
+  Result<uint16_t> metrics =
+    m_metrics.Start(ToText(m_settings.m_metricsListen));
+  if (!metrics) {
+    return tl::unexpected(metrics.error());
+  }
   return m_admin.Start(ToText(m_settings.m_adminListen)).map([](uint16_t) {});
 }
 
@@ -102,7 +112,10 @@
     return started;
   }
   m_loop.Every(FlowBalancer::kTick, [this] { OnTick(); });
-  m_loop.Every(kSubscribeEvery, [this] { SubscribeToAgents(); });
+  m_loop.Every(kSubscribeEvery, [this] {
+    SubscribeToAgents();
+    LogWhatWasLeftOut();
+  });
   m_routesFollower.Start();
   m_agentsFollower.Start();
   return {};
@@ -164,6 +177,7 @@
 {
   std::optional<PacketHeader> header = DecodeHeader(aBytes);
   if (!header) {
+    m_malformed += 1;
     return;
   }
   TimePoint now = FlowLoop::Now();
@@ -179,6 +193,7 @@
     return;
   }
   auto reason = static_cast<HandBack>(header->m_mark);
+  m_handedBack[static_cast<size_t>(reason)] += 1;
   Log(LogLevel::Info,
       "handed-back",
       { { "flow", ToText(header->FlowFromCaller()) },
@@ -259,12 +274,51 @@
   if (aStep.m_reason == FlowReason::Known) {
     return;
   }
-  Log(LogLevel::Info,
-      "flow",
-      { { "flow", ToText(aStep.m_flow) },
-        { "reason", NameOf(kFlowReasonNames, aStep.m_reason) },
-        { "agent", aStep.m_agentIp ? IpToText(aStep.m_agentIp) : "" },
-        { "routes", m_core.RoutesVersion() } });
+  nlohmann::json fields = {
+    { "flow", ToText(aStep.m_flow) },
+    { "reason", NameOf(kFlowReasonNames, aStep.m_reason) },
+    { "action", NameOf(kFlowBalancerActionNames, aStep.m_action) },
+    { "routes", m_core.RoutesVersion() }
+  };
+  if (aStep.m_agentIp != 0) {
+    fields["agent"] = IpToText(aStep.m_agentIp);
+  }
+  if (aStep.m_candidates > 0) {
+    fields["candidates"] = aStep.m_candidates;
+    fields["busy"] = aStep.m_busy;
+  }
+  if (aStep.m_loadAge) {
+    fields["load_age_ms"] = ToMilliseconds(*aStep.m_loadAge);
+  }
+  // Refusals have an event of their own, so that placements cannot use up
+  // their budget of lines.
+  bool isLoss = aStep.m_action == FlowBalancerAction::Reset ||
+                aStep.m_action == FlowBalancerAction::Drop;
+  Log(LogLevel::Info, isLoss ? "flow-refused" : "flow", fields);
+}
+
+HttpOutgoing
+BalancerDaemon::Metrics() const
+{
+  MetricsText text;
+  text.AddEach("bilberry_flow_steps_total",
+               kFlowReasonNames,
+               [this](FlowReason aReason) { return m_core.Counted(aReason); });
+  text.AddEach(
+    "bilberry_handed_back_total", kHandBackNames, [this](HandBack aReason) {
+      return m_handedBack[static_cast<size_t>(aReason)];
+    });
+  text.Add("bilberry_flows", m_core.FlowCount());
+  text.Add("bilberry_routes_version", m_core.RoutesVersion());
+  text.Add("bilberry_agents", m_core.Agents().All().size());
+  text.Add("bilberry_agents_revision", m_core.Agents().Revision());
+  text.Add("bilberry_ready", m_isReady ? 1 : 0);
+  text.Add("bilberry_malformed_packets_total", m_malformed);
+  text.Add("bilberry_send_failures_total",
+           m_callers->SendFailures() + m_handBack->SendFailures() +
+             m_control->SendFailures());
+  text.Add("bilberry_search_seconds", m_core.SearchTimes());
+  return { kOk, {}, "text/plain", text.Text() };
 }
 
 void
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -36,6 +36,7 @@
   void SendForward(const BalancerStep& aStep, std::span<uint8_t> aBytes);
   void SendControl(uint32_t aIp, const FlowMessage& aMessage);
   void LogStep(const BalancerStep& aStep);
+  HttpOutgoing Metrics() const;
   void OnTick();
   void SubscribeToAgents();
   void ContinueShutdown();
@@ -47,10 +48,13 @@
   StoreFollower m_routesFollower;
   StoreFollower m_agentsFollower;
   HttpServer m_readiness;
+  HttpServer m_metrics;
   AdminServer m_admin;
   FlowLoop::Socket* m_callers = nullptr;
   FlowLoop::Socket* m_handBack = nullptr;
   FlowLoop::Socket* m_control = nullptr;
+  std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
+  uint64_t m_malformed = 0;
   std::atomic<bool> m_isReady{ false };
   std::optional<TimePoint> m_stoppingSince;
   TimePoint m_lastCallerPacket;
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -85,6 +85,7 @@
   settings.m_domain = fields.RequiredString("failure_domain");
   settings.m_packetListen = ReadEndpoint(fields, "packet_listen");
   settings.m_adminListen = ReadEndpoint(fields, "admin_listen");
+  settings.m_metricsListen = ReadEndpoint(fields, "metrics_listen");
   settings.m_platform = ToText(ReadEndpoint(fields, "platform"));
   settings.m_controlPort = ReadPort(fields, "control_port");
   settings.m_handBackPort = ReadPort(fields, "hand_back_port");
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -32,6 +32,8 @@
   Endpoint m_packetListen;
   /** Operators, peers, and the server's heartbeats. */
   Endpoint m_adminListen;
+  /** Metrics and status; port 0 serves none. */
+  Endpoint m_metricsListen;
   /** The platform's store. */
   std::string m_platform;
   /** Datagrams between balancers and agents; the same port on all VMs. */
--- a/packages/runtime/Log.cpp
+++ b/packages/runtime/Log.cpp
@@ -1,10 +1,11 @@
 #include "Log.h"
 
+#include "LogBudget.h"
+#include "PipeAppender.h"
+
 #include <chrono>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
 #include <memory>
 
 namespace bilberryfield {
@@ -34,32 +35,42 @@
   return name;
 }
 
-} // namespace
+const std::shared_ptr<PipeAppender>&
+Appender()
+{
+  static auto appender = std::make_shared<PipeAppender>();
+  return appender;
+}
 
-void
-StartLog(LogLevel aLowest, const std::string& aProcess)
+LogBudget&
+Budget()
 {
-  ProcessName() = aProcess;
-  // log4cxx's own JSON layout writes every field as text in a nested map; the
-  // line is made here, and the layout passes it on.
-  auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-    layout, log4cxx::ConsoleAppender::getSystemErr());
-  log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
-  root->removeAllAppenders();
-  root->addAppender(appender);
-  root->setLevel(LevelOf(aLowest));
+  constexpr double kLinesPerSecond = 100;
+  constexpr double kBurst = 300;
+  static LogBudget budget(kLinesPerSecond, kBurst);
+  return budget;
 }
 
-void
-Log(LogLevel aLevel, const std::string& aEvent, const nlohmann::json& aFields)
+TimePoint
+SteadyNow()
+{
+  auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
+
+log4cxx::LoggerPtr&
+TheLogger()
 {
   static log4cxx::LoggerPtr logger =
     log4cxx::Logger::getLogger("bilberryfield");
-  log4cxx::LevelPtr level = LevelOf(aLevel);
-  if (!logger->isEnabledFor(level)) {
-    return;
-  }
+  return logger;
+}
+
+void
+WriteLine(LogLevel aLevel,
+          const std::string& aEvent,
+          const nlohmann::json& aFields)
+{
   auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
     std::chrono::system_clock::now().time_since_epoch());
   nlohmann::ordered_json line = { { "time_ms", now.count() },
@@ -70,9 +81,51 @@
     line[key] = value;
   }
   LOG4CXX_LOG(
-    logger,
-    level,
+    TheLogger(),
+    LevelOf(aLevel),
     line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+} // namespace
+
+void
+StartLog(LogLevel aLowest, const std::string& aProcess)
+{
+  ProcessName() = aProcess;
+  // log4cxx's own JSON layout writes every field as text in a nested map; the
+  // line is made here, and the appender passes it on.
+  log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(Appender());
+  SetLogLevel(aLowest);
+}
+
+void
+SetLogLevel(LogLevel aLowest)
+{
+  log4cxx::Logger::getRootLogger()->setLevel(LevelOf(aLowest));
+}
+
+void
+LogWhatWasLeftOut()
+{
+  for (const auto& [event, count] : Budget().TakeLeftOut()) {
+    WriteLine(LogLevel::Warning,
+              "lines-left-out",
+              { { "of", event }, { "lines", count } });
+  }
+  if (uint64_t dropped = Appender()->TakeDropped()) {
+    WriteLine(LogLevel::Warning, "lines-dropped", { { "lines", dropped } });
+  }
+}
+
+void
+Log(LogLevel aLevel, const std::string& aEvent, const nlohmann::json& aFields)
+{
+  bool isWanted = TheLogger()->isEnabledFor(LevelOf(aLevel));
+  if (isWanted && Budget().Take(SteadyNow(), aEvent)) {
+    WriteLine(aLevel, aEvent, aFields);
+  }
+}
+
 } // namespace bilberryfield
--- a/packages/runtime/Log.h
+++ b/packages/runtime/Log.h
@@ -23,10 +23,21 @@
   { LogLevel::Error, "error" },
 } };
 
-/** Starts the log: JSON lines on standard error, from a level upwards. */
+/** Starts the log: JSON lines on standard output, from a level upwards. */
 void
 StartLog(LogLevel aLowest, const std::string& aProcess);
 
+/** Changes the lowest level that is written. */
+void
+SetLogLevel(LogLevel aLowest);
+
+/**
+ * Writes one line for each event of which lines were left out since the last
+ * call, because there were too many or because nobody read them.
+ */
+void
+LogWhatWasLeftOut();
+
 /**
  * Writes one line with the event's name and its fields.
  * Example: Log(LogLevel::Info, "drain-started", { { "running", 3 } }).
