Let balancers that the store turns away learn from each other

And a flow was refused when every agent of its service had just started, though callers repeat their opening packet soon (property found).

Change: balancers state their versions when they subscribe; agents pass the newest holder on; who hears of something newer than the store brings fetches it, and a start without the store asks the seeds. Agents that have not heard their server hand back 'starting', and the caller's next copy is waited for.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -70,6 +70,9 @@
   }
   KnownAgent& agent = found->second;
   switch (aReason) {
+    case HandBack::Starting:
+      agent.m_condition = ServerCondition::Unknown;
+      break;
     case HandBack::NotAccepting:
     case HandBack::WrongService:
       agent.m_condition = ServerCondition::Draining;
@@ -129,10 +132,9 @@
 {
   std::vector<PlacementCandidate> candidates;
   for (const auto& [ip, agent] : m_agents) {
-    bool isNew = !agent.m_heardAt && agent.m_isListed &&
-                 aNow - agent.m_knownSince < kFirstReportLimit;
-    bool isUsable = isNew || (Hears(aNow, agent) &&
-                              agent.m_condition == ServerCondition::Ready);
+    bool isUsable =
+      IsNew(aNow, agent) ||
+      (Hears(aNow, agent) && agent.m_condition == ServerCondition::Ready);
     bool wasTried = std::find(aTried.begin(), aTried.end(), ip) != aTried.end();
     if (!isUsable || wasTried || agent.m_entry.m_service != aService) {
       continue;
@@ -146,6 +148,24 @@
   return candidates;
 }
 
+bool
+AgentList::IsNew(TimePoint aNow, const KnownAgent& aAgent) const
+{
+  return !aAgent.m_heardAt && aAgent.m_isListed &&
+         aNow - aAgent.m_knownSince < kFirstReportLimit;
+}
+
+bool
+AgentList::ExpectsServer(TimePoint aNow, const std::string& aService) const
+{
+  return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto& aItem) {
+    const KnownAgent& agent = aItem.second;
+    bool isPresent = Hears(aNow, agent) || IsNew(aNow, agent);
+    return agent.m_entry.m_service == aService && isPresent &&
+           agent.m_condition == ServerCondition::Unknown;
+  });
+}
+
 std::vector<uint32_t>
 AgentList::AgentsOf(const std::string& aService) const
 {
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -72,6 +72,9 @@
     const std::string& aService,
     std::span<const uint32_t> aTried) const;
 
+  /** True while an agent of the service may soon know its server. */
+  bool ExpectsServer(TimePoint aNow, const std::string& aService) const;
+
   /** Agents that a flow of a service may be at, whatever their condition. */
   std::vector<uint32_t> AgentsOf(const std::string& aService) const;
 
@@ -85,6 +88,8 @@
   bool Hears(TimePoint aNow, const KnownAgent& aAgent) const;
 
 private:
+  bool IsNew(TimePoint aNow, const KnownAgent& aAgent) const;
+
   std::string m_ownDomain;
   uint64_t m_revision = 0;
   std::map<uint32_t, KnownAgent> m_agents;
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -126,6 +126,9 @@
   if (condition == ServerCondition::Silent) {
     return GiveBack(HandBack::Silent, aBalancerIp);
   }
+  if (condition == ServerCondition::Unknown) {
+    return GiveBack(HandBack::Starting, aBalancerIp);
+  }
   if (condition != ServerCondition::Ready) {
     return GiveBack(HandBack::NotAccepting, aBalancerIp);
   }
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -155,13 +155,7 @@
     choice = ChoosePlacement(candidates, m_random);
   }
   if (!choice) {
-    m_flows.Erase(key);
-    bool isKnown = m_agents.IsLoaded();
-    Add(isKnown ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
-        isKnown ? FlowReason::NoServer : FlowReason::NotYetLoaded,
-        key,
-        aHeader.m_ack);
-    return;
+    return RefuseOpening(aNow, aHeader, service);
   }
   uint32_t agentIp = candidates[choice->m_index].m_agentIp;
   flow->m_agentIp = agentIp;
@@ -175,6 +169,22 @@
     static_cast<uint32_t>(mayQueue ? OpenMode::Queue : OpenMode::IfFree);
 }
 
+void
+FlowBalancer::RefuseOpening(TimePoint aNow,
+                            const PacketHeader& aHeader,
+                            const std::string& aService)
+{
+  FlowKey key = aHeader.FlowFromCaller();
+  m_flows.Erase(key);
+  // The caller repeats its opening packet soon; by then an agent that has
+  // just started has heard its server.
+  bool isKnown = m_agents.IsLoaded() && !m_agents.ExpectsServer(aNow, aService);
+  Add(isKnown ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
+      isKnown ? FlowReason::NoServer : FlowReason::NotYetLoaded,
+      key,
+      aHeader.m_ack);
+}
+
 void
 FlowBalancer::NoteInputs(TimePoint aNow,
                          const PlacementCandidate& aChosen,
@@ -223,8 +233,7 @@
     return m_steps;
   }
   if (flow->m_tryCount >= kMaxTries) {
-    m_flows.Erase(key);
-    Add(FlowBalancerAction::Reset, FlowReason::NoServer, key, aHeader.m_ack);
+    RefuseOpening(aNow, aHeader, ChooseTarget(*route, key));
     return m_steps;
   }
   flow->m_tried[flow->m_tryCount++] = aAgentIp;
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -171,6 +171,10 @@
                     const PacketHeader& aHeader,
                     const Route& aRoute,
                     bool aIsAgain);
+  /** Ends a new flow that no server can take. */
+  void RefuseOpening(TimePoint aNow,
+                     const PacketHeader& aHeader,
+                     const std::string& aService);
   void SearchFor(TimePoint aNow,
                  const PacketHeader& aHeader,
                  PacketBytes aBytes,
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -171,7 +171,8 @@
 {
   None,
   Full,         /**< Every slot of the server is in use. */
-  NotAccepting, /**< The server drains, is gone or not yet known. */
+  Starting,     /**< The agent has not heard its server yet. */
+  NotAccepting, /**< The server drains or is gone. */
   Silent,       /**< The server did not answer the opening packet in time. */
   WrongService, /**< The server at this address serves something else. */
   NotOwner,     /**< The flow is not at this server. */
@@ -179,9 +180,10 @@
   Count,
 };
 
-inline constexpr NameTable<HandBack, 7> kHandBackNames = { {
+inline constexpr NameTable<HandBack, 8> kHandBackNames = { {
   { HandBack::None, "none" },
   { HandBack::Full, "full" },
+  { HandBack::Starting, "starting" },
   { HandBack::NotAccepting, "not-accepting" },
   { HandBack::Silent, "silent" },
   { HandBack::WrongService, "wrong-service" },
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -15,6 +15,7 @@
 
 /** Time between two subscriptions to each agent. */
 constexpr Duration kSubscribeEvery = Seconds(1);
+constexpr Duration kAskPeersEvery = Milliseconds(200);
 /** Time in which the fabric notices that a balancer is not ready. */
 constexpr Duration kFabricNotices = Milliseconds(2500);
 /** Silence of callers after which a shutdown ends. */
@@ -33,13 +34,18 @@
       m_loop,
       m_store,
       kConfigKind,
-      [this](const auto& aObjects, uint64_t) { OnRoutes(aObjects); })
+      [this](const auto& aObjects, uint64_t) { OnConfigObjects(aObjects); })
   , m_agentsFollower(m_loop,
                      m_store,
                      kAgentKind,
                      [this](const auto& aObjects, uint64_t aRevision) {
                        OnAgents(aObjects, aRevision);
                      })
+  , m_peerSync(m_loop,
+               aSettings.m_seeds,
+               aSettings.m_adminListen,
+               [this](const PeerSnapshot& aSnapshot) { OnSnapshot(aSnapshot); })
+  , m_startedAt(FlowLoop::Now())
   , m_readiness({ 1 },
                 [this](const HttpIncoming& aRequest, const HttpReply& aReply) {
                   bool isReady = aRequest.m_path == kReadinessPath && m_isReady;
@@ -97,6 +103,10 @@
   if (!metrics) {
     return tl::unexpected(metrics.error());
   }
+  m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
+  m_admin.Add(
+    std::string("GET ") + kSnapshotPath,
+    [this](const HttpIncoming& aRequest) { return Snapshot(aRequest); });
   return m_admin.Start(ToText(m_settings.m_adminListen)).map([](uint16_t) {});
 }
 
@@ -112,6 +122,7 @@
     return started;
   }
   m_loop.Every(FlowBalancer::kTick, [this] { OnTick(); });
+  m_loop.Every(kAskPeersEvery, [this] { AskPeers(); });
   m_loop.Every(kSubscribeEvery, [this] {
     SubscribeToAgents();
     LogWhatWasLeftOut();
@@ -122,18 +133,23 @@
 }
 
 void
-BalancerDaemon::OnRoutes(const StoreFollower::Objects& aObjects)
+BalancerDaemon::OnConfigObjects(const StoreFollower::Objects& aObjects)
 {
   auto found = aObjects.find(kConfigName);
-  if (found == aObjects.end()) {
-    return;
+  if (found != aObjects.end()) {
+    OnConfiguration(found->second.m_content, "store");
   }
-  Result<OperatorConfig> config = DecodeOperatorConfig(found->second.m_content);
+}
+
+void
+BalancerDaemon::OnConfiguration(const nlohmann::json& aContent,
+                                const char* aSource)
+{
+  Result<OperatorConfig> config = DecodeOperatorConfig(aContent);
   if (!config) {
     Log(LogLevel::Error,
         "routes-rejected",
-        { { "revision", found->second.m_revision },
-          { "detail", config.error().m_detail } });
+        { { "source", aSource }, { "detail", config.error().m_detail } });
     return;
   }
   for (const std::string& mistake : config->m_mistakes) {
@@ -143,11 +159,101 @@
   size_t count = config->m_table.m_routes.size();
   bool isTaken = m_core.SetRoutes(
     std::make_shared<const RouteTable>(std::move(config->m_table)));
+  if (isTaken) {
+    m_configuration = aContent;
+  }
   Log(LogLevel::Info,
       isTaken ? "routes-in-force" : "routes-not-newer",
       { { "version", version },
         { "routes", count },
-        { "revision", found->second.m_revision } });
+        { "source", aSource },
+        { "in_force", m_core.RoutesVersion() } });
+}
+
+void
+BalancerDaemon::OnSnapshot(const PeerSnapshot& aSnapshot)
+{
+  if (!aSnapshot.m_configuration.is_null()) {
+    OnConfiguration(aSnapshot.m_configuration, "peer");
+  }
+  if (aSnapshot.m_agentsRevision > 0) {
+    m_core.Agents().SetListed(
+      FlowLoop::Now(), aSnapshot.m_agentsRevision, aSnapshot.m_agents);
+    SubscribeToAgents();
+  }
+}
+
+AdminAnswer
+BalancerDaemon::Snapshot(const HttpIncoming& aRequest) const
+{
+  auto have = [&](const char* aName) {
+    return std::strtoull(aRequest.Parameter(aName).c_str(), nullptr, 10);
+  };
+  PeerSnapshot snapshot;
+  snapshot.m_routesVersion = m_core.RoutesVersion();
+  if (snapshot.m_routesVersion > have("routes")) {
+    snapshot.m_configuration = m_configuration;
+  }
+  if (m_core.Agents().Revision() > have("agents")) {
+    snapshot.m_agentsRevision = m_core.Agents().Revision();
+    for (const auto& [ip, agent] : m_core.Agents().All()) {
+      if (agent.m_isListed) {
+        snapshot.m_agents.push_back(agent.m_entry);
+      }
+    }
+  }
+  return { kOk, EncodeSnapshot(snapshot) };
+}
+
+AdminAnswer
+BalancerDaemon::Status() const
+{
+  TimePoint now = FlowLoop::Now();
+  nlohmann::json agents = nlohmann::json::array();
+  for (const auto& [ip, agent] : m_core.Agents().All()) {
+    agents.push_back(
+      { { "agent", IpToText(ip) },
+        { "service", agent.m_entry.m_service },
+        { "failure_domain", agent.m_entry.m_domain },
+        { "condition", NameOf(kServerConditionNames, agent.m_condition) },
+        { "heard", m_core.Agents().Hears(now, agent) },
+        { "listed", agent.m_isListed },
+        { "busy", agent.m_busy },
+        { "slots", agent.m_slots },
+        { "answer_ms", agent.m_answerUs / 1000 } });
+  }
+  return { kOk,
+           { { "id", m_settings.m_id },
+             { "role", NameOf(kFlowRoleNames, m_settings.m_role) },
+             { "failure_domain", m_settings.m_domain },
+             { "ready", m_isReady.load() },
+             { "routes_version", m_core.RoutesVersion() },
+             { "agents_revision", m_core.Agents().Revision() },
+             { "flows", m_core.FlowCount() },
+             { "agents", std::move(agents) } } };
+}
+
+OwnVersions
+BalancerDaemon::Versions() const
+{
+  return { m_core.RoutesVersion(),
+           m_core.Agents().Revision(),
+           m_agentsFollower.IsConnected() };
+}
+
+// The store goes first; peers help a balancer that it does not serve.
+void
+BalancerDaemon::AskPeers()
+{
+  TimePoint now = FlowLoop::Now();
+  OwnVersions own = Versions();
+  if (std::optional<Endpoint> peer = m_peerNews.WhomToAsk(now, own)) {
+    return m_peerSync.Ask(*peer, own);
+  }
+  bool isLoaded = own.m_routes > 0 && own.m_agents > 0;
+  if (!isLoaded && now - m_startedAt >= PeerNews::kStoreGoesFirst) {
+    m_peerSync.AskNextSeed(own);
+  }
 }
 
 void
@@ -220,6 +326,7 @@
   TimePoint now = FlowLoop::Now();
   if (auto* report = std::get_if<ServerLoad>(&*message)) {
     m_core.Agents().OnReport(now, aFrom.m_ip, *report);
+    m_peerNews.OnReport(now, report->m_routes, report->m_agents);
   } else if (auto* answer = std::get_if<FlowAnswer>(&*message)) {
     Execute(m_core.OnAnswer(now, aFrom.m_ip, *answer), {});
   }
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -4,6 +4,7 @@
 #include "FlowBalancer.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
+#include "PeerSync.h"
 #include "StoreFollower.h"
 
 namespace bilberryfield {
@@ -29,7 +30,13 @@
   void OnCallerDatagram(std::span<uint8_t> aBytes);
   void OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom);
-  void OnRoutes(const StoreFollower::Objects& aObjects);
+  void OnConfigObjects(const StoreFollower::Objects& aObjects);
+  void OnConfiguration(const nlohmann::json& aContent, const char* aSource);
+  void OnSnapshot(const PeerSnapshot& aSnapshot);
+  AdminAnswer Status() const;
+  AdminAnswer Snapshot(const HttpIncoming& aRequest) const;
+  OwnVersions Versions() const;
+  void AskPeers();
   void OnAgents(const StoreFollower::Objects& aObjects, uint64_t aRevision);
   void Execute(const std::vector<BalancerStep>& aSteps,
                std::span<uint8_t> aBytes);
@@ -47,6 +54,11 @@
   FlowBalancer m_core;
   StoreFollower m_routesFollower;
   StoreFollower m_agentsFollower;
+  PeerNews m_peerNews;
+  PeerSync m_peerSync;
+  /** The configuration in force, as the operator stored it. */
+  nlohmann::json m_configuration;
+  TimePoint m_startedAt;
   HttpServer m_readiness;
   HttpServer m_metrics;
   AdminServer m_admin;
--- /dev/null
+++ b/packages/flownode/PeerSync.cpp
@@ -0,0 +1,111 @@
+#include "PeerSync.h"
+
+#include "Log.h"
+
+namespace bilberryfield {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kAskTimeout = Milliseconds(1000);
+constexpr uint16_t kOk = 200;
+
+} // namespace
+
+json
+EncodeSnapshot(const PeerSnapshot& aSnapshot)
+{
+  json agents = json::array();
+  for (const AgentEntry& entry : aSnapshot.m_agents) {
+    agents.push_back(ToJson(entry));
+  }
+  return { { "configuration", aSnapshot.m_configuration },
+           { "routes_version", aSnapshot.m_routesVersion },
+           { "agents", std::move(agents) },
+           { "agents_revision", aSnapshot.m_agentsRevision } };
+}
+
+Result<PeerSnapshot>
+DecodeSnapshot(const std::string& aText, const std::string& aPeer)
+{
+  PeerSnapshot snapshot;
+  try {
+    json fields = json::parse(aText);
+    snapshot.m_configuration = fields.at("configuration");
+    snapshot.m_routesVersion = fields.at("routes_version").get<uint64_t>();
+    snapshot.m_agentsRevision = fields.at("agents_revision").get<uint64_t>();
+    for (const json& item : fields.at("agents")) {
+      Result<AgentEntry> entry = ReadAgentEntry(aPeer, item);
+      if (!entry) {
+        return tl::unexpected(entry.error());
+      }
+      snapshot.m_agents.push_back(std::move(*entry));
+    }
+  } catch (const json::exception& error) {
+    return Failure(Step::DecodeMessage, aPeer, error.what());
+  }
+  return snapshot;
+}
+
+PeerSync::PeerSync(FlowLoop& aLoop,
+                   std::vector<Endpoint> aSeeds,
+                   Endpoint aSelf,
+                   OnSnapshot aOnSnapshot)
+  : m_loop(aLoop)
+  , m_seeds(std::move(aSeeds))
+  , m_onSnapshot(std::move(aOnSnapshot))
+  , m_client(HttpClientOptions{})
+{
+  std::erase(m_seeds, aSelf);
+}
+
+void
+PeerSync::AskNextSeed(const OwnVersions& aOwn)
+{
+  if (m_seeds.empty() || m_isAsking) {
+    return;
+  }
+  m_nextSeed = (m_nextSeed + 1) % m_seeds.size();
+  Ask(m_seeds[m_nextSeed], aOwn);
+}
+
+void
+PeerSync::Ask(const Endpoint& aPeer, const OwnVersions& aOwn)
+{
+  if (m_isAsking) {
+    return;
+  }
+  m_isAsking = true;
+  HttpCall call;
+  call.m_host = ToText(aPeer);
+  call.m_path = std::string(kSnapshotPath) +
+                "?routes=" + std::to_string(aOwn.m_routes) +
+                "&agents=" + std::to_string(aOwn.m_agents);
+  call.m_timeout = kAskTimeout;
+  m_client.Send(call, [this, peer = call.m_host](HttpResult aResult) {
+    m_loop.Post([this, peer, result = std::move(aResult)] {
+      m_isAsking = false;
+      bool isAnswered =
+        result.m_end == HttpEnd::Answered && result.m_status == kOk;
+      Result<PeerSnapshot> snapshot =
+        isAnswered ? DecodeSnapshot(result.m_body, peer)
+                   : Failure(Step::CallDaemon, peer, "no snapshot");
+      if (!snapshot) {
+        Log(LogLevel::Warning,
+            "snapshot-failed",
+            { { "peer", peer }, { "detail", snapshot.error().m_detail } });
+        return;
+      }
+      Log(LogLevel::Info,
+          "snapshot-received",
+          { { "peer", peer },
+            { "routes", snapshot->m_routesVersion },
+            { "agents", snapshot->m_agents.size() },
+            { "agents_revision", snapshot->m_agentsRevision } });
+      m_onSnapshot(*snapshot);
+    });
+  });
+}
+
+} // namespace bilberryfield
