Speak to the platform through one client

Cause: the product had a client and a stand-in for an object API of its own beside the one for the users' platform.

--- a/packages/agent/JournalWriter.h
+++ b/packages/agent/JournalWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Journal.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 
 #include <condition_variable>
 #include <functional>
@@ -38,7 +38,7 @@
   void Run();
   bool Store(const JournalBatch& aBatch);
 
-  PlatformClient m_platform;
+  KeyedStore m_platform;
   OnStored m_onStored;
   std::mutex m_mutex;
   std::condition_variable m_changed;
--- a/packages/balancer/ConfigWatcher.h
+++ b/packages/balancer/ConfigWatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ConfigState.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 
 #include <atomic>
 #include <functional>
@@ -58,7 +58,7 @@
   std::string m_ownAddress;
   WatcherCallbacks m_callbacks;
   WatcherOrders m_orders;
-  PlatformClient m_platform;
+  KeyedStore m_platform;
   std::atomic<bool> m_isStopping{ false };
   uint64_t m_seenHead = 0;
   std::thread m_thread;
--- a/packages/control/AuditCommand.cpp
+++ b/packages/control/AuditCommand.cpp
@@ -1,7 +1,7 @@
 #include "Audit.h"
 #include "Codec.h"
 #include "Commands.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 
 #include <map>
 
@@ -19,7 +19,7 @@
 using Journals = std::map<std::string, StoredJournal>;
 
 Result<Journals>
-ReadJournals(PlatformClient& aPlatform, const std::string& aServer)
+ReadJournals(KeyedStore& aPlatform, const std::string& aServer)
 {
   auto keys = aPlatform.List("journal/" + aServer + "/");
   if (!keys) {
@@ -108,7 +108,7 @@
   if (aContext.m_arguments.size() != 1 || aContext.m_platform.empty()) {
     return FailUsage(aContext, "audit needs a server's id and --platform");
   }
-  PlatformClient platform(aContext.m_platform);
+  KeyedStore platform(aContext.m_platform);
   Result<Journals> journals = ReadJournals(platform, aContext.m_arguments[0]);
   if (!journals) {
     return Fail(aContext, journals.error());
--- a/packages/control/ConfigCommand.cpp
+++ b/packages/control/ConfigCommand.cpp
@@ -1,6 +1,6 @@
 #include "Commands.h"
 #include "ConfigReader.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 
 namespace bilberryfield {
 
@@ -32,7 +32,7 @@
 
 ExitCode
 ShowServices(const CommandContext& aContext,
-             PlatformClient& aPlatform,
+             KeyedStore& aPlatform,
              const ConfigHead& aHead)
 {
   auto delta = FetchDelta(aPlatform, aHead, 0);
@@ -66,7 +66,7 @@
   if (aContext.m_platform.empty()) {
     return FailUsage(aContext, "config needs --platform");
   }
-  PlatformClient platform(aContext.m_platform);
+  KeyedStore platform(aContext.m_platform);
   auto head = FetchHead(platform);
   if (!head) {
     return Fail(aContext, head.error());
--- a/packages/control/PublishCommand.cpp
+++ b/packages/control/PublishCommand.cpp
@@ -1,5 +1,5 @@
 #include "Commands.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 #include "Publisher.h"
 #include "ServiceFiles.h"
 
@@ -138,7 +138,7 @@
                           std::move(files.m_services),
                           aWithdrawn,
                           RandomBytes(kKeyBytes) };
-  PlatformClient platform(aContext.m_platform);
+  KeyedStore platform(aContext.m_platform);
   PublishResult result = Publish(platform, request);
   if (aContext.m_isJson) {
     PrintJson(aContext, request, result);
--- a/standins/Cluster.cpp
+++ b/standins/Cluster.cpp
@@ -1,6 +1,6 @@
 #include "Cluster.h"
 
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 
 #include <csignal>
 #include <fstream>
@@ -208,7 +208,7 @@
     aServices[i].m_address = ServiceAddress(i);
   }
   request.m_services = std::move(aServices);
-  PlatformClient platform(m_platformAddress);
+  KeyedStore platform(m_platformAddress);
   return Publish(platform, request);
 }
 
--- /dev/null
+++ b/standins/FlowCluster.cpp
@@ -0,0 +1,241 @@
+#include "FlowCluster.h"
+
+#include "HttpPaths.h"
+#include "KeyedStore.h"
+#include "OperatorConfig.h"
+
+#include <fstream>
+#include <future>
+#include <random>
+
+namespace bilberryfield {
+
+namespace {
+
+// Every VM has an address of its own on loopback; ports are the same on all.
+constexpr uint32_t kBalancerNet = 0x7F010001;
+constexpr uint32_t kServerNet = 0x7F020001;
+constexpr uint32_t kCallerIp = 0x7F030001;
+
+enum PortOffset : uint16_t
+{
+  kPackets,
+  kOutbound,
+  kReadiness,
+  kAdmin,
+  kApp,
+  kControl,
+  kHandBack,
+  kMetrics,
+  kPortCount,
+};
+
+// Test programs run beside each other, so each cluster draws its ports.
+uint16_t
+DrawPort()
+{
+  constexpr uint16_t kLowest = 20'000;
+  constexpr uint16_t kHighest = 30'000;
+  std::random_device device;
+  std::uniform_int_distribution<uint16_t> any(kLowest, kHighest - kPortCount);
+  return any(device);
+}
+
+} // namespace
+
+FlowCluster::FlowCluster(std::string aBuild, int aBalancers, int aServers)
+  : m_build(std::move(aBuild))
+  , m_port(DrawPort())
+  , m_client(HttpClientOptions{})
+  , m_balancers(aBalancers)
+  , m_agents(aServers)
+  , m_servers(aServers)
+{
+  std::string name =
+    (std::filesystem::temp_directory_path() / "bilberryflow-XXXXXX").string();
+  if (!mkdtemp(name.data())) {
+    throw std::runtime_error("cannot make a folder for logs");
+  }
+  m_folder = name;
+}
+
+FlowCluster::~FlowCluster()
+{
+  m_balancers.clear();
+  m_servers.clear();
+  m_agents.clear();
+  m_store.reset();
+  std::filesystem::remove_all(m_folder);
+}
+
+Endpoint
+FlowCluster::Service()
+{
+  return { 0xC6120001, 443 };
+}
+
+Endpoint
+FlowCluster::CallerListen() const
+{
+  return { kCallerIp, static_cast<uint16_t>(m_port + kPackets) };
+}
+
+std::vector<FabricTarget>
+FlowCluster::Targets() const
+{
+  std::vector<FabricTarget> targets;
+  for (uint32_t i = 0; i < m_balancers.size(); ++i) {
+    targets.push_back(
+      { { kBalancerNet + i, static_cast<uint16_t>(m_port + kPackets) },
+        { kBalancerNet + i, static_cast<uint16_t>(m_port + kReadiness) } });
+  }
+  return targets;
+}
+
+Process
+FlowCluster::Run(const std::string& aName,
+                 const std::vector<std::string>& aCommand)
+{
+  Result<Process> process =
+    Process::Start(aCommand, (m_folder / (aName + ".log")).string());
+  if (!process) {
+    throw std::runtime_error(process.error().m_detail);
+  }
+  return std::move(*process);
+}
+
+std::string
+FlowCluster::SettingsText(const std::string& aName,
+                          const char* aRole,
+                          uint32_t aIp) const
+{
+  auto at = [&](PortOffset aOffset) {
+    return ToText(Endpoint{ aIp, static_cast<uint16_t>(m_port + aOffset) });
+  };
+  nlohmann::json settings = { { "role", aRole },
+                              { "id", aName },
+                              { "failure_domain", "a" },
+                              { "packet_listen", at(kPackets) },
+                              { "admin_listen", at(kAdmin) },
+                              { "metrics_listen", at(kMetrics) },
+                              { "platform", m_storeAddress },
+                              { "control_port", m_port + kControl },
+                              { "hand_back_port", m_port + kHandBack } };
+  if (aRole == NameOf(kFlowRoleNames, FlowRole::Agent)) {
+    settings["server_listen"] = at(kOutbound);
+    settings["server"] = at(kApp);
+    settings["service"] = "desk";
+    settings["heartbeat_ms"] = 200;
+  } else {
+    settings["readiness_listen"] = at(kReadiness);
+    nlohmann::json seeds = nlohmann::json::array();
+    for (uint32_t i = 0; i < m_balancers.size(); ++i) {
+      seeds.push_back(ToText(
+        Endpoint{ kBalancerNet + i, static_cast<uint16_t>(m_port + kAdmin) }));
+    }
+    settings["seeds"] = seeds;
+  }
+  return settings.dump(2);
+}
+
+std::string
+FlowCluster::WriteSettings(const std::string& aName, const std::string& aText)
+{
+  std::string path = (m_folder / (aName + ".json")).string();
+  std::ofstream(path) << aText;
+  return path;
+}
+
+void
+FlowCluster::Start()
+{
+  m_store = Run("store", { m_build + "/standins/PlatformStandIn" });
+  auto line = m_store->WaitForLine("ports");
+  if (!line) {
+    throw std::runtime_error("the store stand-in did not start");
+  }
+  uint16_t port = nlohmann::json::parse(*line).at("ports").at(0);
+  m_storeAddress = "127.0.0.1:" + std::to_string(port);
+  StoreRoutes({ { "desk", Service(), { { "desk", 1 } }, 1, {} } });
+  for (size_t i = 0; i < m_agents.size(); ++i) {
+    StartAgent(i);
+    StartServer(i);
+  }
+  for (size_t i = 0; i < m_balancers.size(); ++i) {
+    StartBalancer(i);
+  }
+}
+
+void
+FlowCluster::StoreRoutes(const std::vector<Route>& aRoutes)
+{
+  RouteTable table;
+  table.m_version = ++m_version;
+  for (const Route& route : aRoutes) {
+    table.m_routes[route.m_address] = route;
+  }
+  nlohmann::json content = EncodeOperatorConfig(table);
+  StoreClient store(m_storeAddress);
+  std::promise<bool> stored;
+  auto onEnd = [&](const Result<StoreWrite>& aWrite) {
+    stored.set_value(aWrite && aWrite->m_end == StoreWrite::End::Stored);
+  };
+  if (m_version == 1) {
+    store.Create(kConfigKind, kConfigName, content, onEnd);
+  } else {
+    store.Replace(kConfigKind, kConfigName, content, 0, onEnd);
+  }
+  if (!stored.get_future().get()) {
+    throw std::runtime_error("the configuration was not stored");
+  }
+}
+
+void
+FlowCluster::SetStoreOutage(bool aIsOut)
+{
+  HttpCall call;
+  call.m_host = m_storeAddress;
+  call.m_path = std::string("/faults?outage=") + (aIsOut ? "1" : "0");
+  m_client.SendAndWait(call);
+}
+
+void
+FlowCluster::StartBalancer(size_t aIndex)
+{
+  std::string name = "balancer-" + std::to_string(aIndex);
+  std::string path = WriteSettings(
+    name,
+    SettingsText(
+      name, "packet-balancer", kBalancerNet + static_cast<uint32_t>(aIndex)));
+  m_balancers[aIndex] = Run(
+    name, { m_build + "/packages/control/bilberryd", "--settings=" + path });
+}
+
+void
+FlowCluster::StartAgent(size_t aIndex)
+{
+  std::string name = "agent-" + std::to_string(aIndex);
+  std::string path = WriteSettings(
+    name,
+    SettingsText(
+      name, "packet-agent", kServerNet + static_cast<uint32_t>(aIndex)));
+  m_agents[aIndex] = Run(
+    name, { m_build + "/packages/control/bilberryd", "--settings=" + path });
+}
+
+void
+FlowCluster::StartServer(size_t aIndex)
+{
+  auto at = [&](PortOffset aOffset) {
+    return ToText(Endpoint{ kServerNet + static_cast<uint32_t>(aIndex),
+                            static_cast<uint16_t>(m_port + aOffset) });
+  };
+  m_servers[aIndex] = Run("server-" + std::to_string(aIndex),
+                          { m_build + "/standins/FlowServerStandIn",
+                            "--listen=" + at(kApp),
+                            "--outbound=" + at(kOutbound),
+                            "--agent=" + at(kAdmin),
+                            "--service=desk" });
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/standins/FlowServerStandIn.cpp
@@ -0,0 +1,196 @@
+// A stand-in of a backend server that speaks in packets: it opens flows, runs
+// requests in its slots, answers, and sends back what it does not hold.
+
+#include "FlowLoop.h"
+#include "HeartbeatCodec.h"
+#include "HttpClient.h"
+#include "HttpPaths.h"
+#include "PacketCodec.h"
+#include "StopSignals.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <random>
+#include <thread>
+
+ABSL_FLAG(std::string, listen, "", "Where the server takes packets.");
+ABSL_FLAG(std::string, outbound, "", "Where it sends its packets.");
+ABSL_FLAG(std::string, agent, "", "Where it sends its heartbeats.");
+ABSL_FLAG(std::string, service, "", "Name of the service.");
+ABSL_FLAG(int, slots, 4, "Requests that it runs at a time.");
+ABSL_FLAG(int, work_ms, 20, "Time that a request takes.");
+ABSL_FLAG(int, heartbeat_ms, 200, "Time between two heartbeats.");
+
+namespace {
+
+using namespace bilberryfield;
+
+constexpr uint16_t kAnswerBytes = 200;
+/** Time for which a draining server goes on after it said so. */
+constexpr auto kDrainTime = std::chrono::milliseconds(1000);
+
+struct Held
+{
+  uint32_t m_seq = 0;
+  bool m_hasRequest = false;
+};
+
+class FlowServer
+{
+public:
+  FlowServer()
+    : m_outbound(*ParseIpAndPort(absl::GetFlag(FLAGS_outbound)))
+    , m_client(HttpClientOptions{})
+  {
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    m_heartbeat.m_born = static_cast<uint64_t>(
+      std::chrono::duration_cast<Milliseconds>(now).count());
+    m_heartbeat.m_id = "s" + std::to_string(m_heartbeat.m_born);
+    m_heartbeat.m_service = absl::GetFlag(FLAGS_service);
+    m_heartbeat.m_address = *ParseIpAndPort(absl::GetFlag(FLAGS_listen));
+    m_heartbeat.m_slots = static_cast<uint32_t>(absl::GetFlag(FLAGS_slots));
+  }
+
+  Result<void> Start()
+  {
+    auto socket =
+      m_loop.Open(m_heartbeat.m_address,
+                  [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); });
+    if (!socket) {
+      return tl::unexpected(socket.error());
+    }
+    m_socket = *socket;
+    SendHeartbeat();
+    m_loop.Every(Milliseconds(absl::GetFlag(FLAGS_heartbeat_ms)),
+                 [this] { SendHeartbeat(); });
+    return {};
+  }
+
+  void Run() { m_loop.Run(); }
+
+  void Leave()
+  {
+    m_loop.Post([this] {
+      m_heartbeat.m_isDraining = true;
+      SendHeartbeat();
+      m_loop.After(kDrainTime, [this] {
+        Call("DELETE", "");
+        m_loop.After(Milliseconds(100), [this] { m_loop.Stop(); });
+      });
+    });
+  }
+
+private:
+  void Call(const std::string& aMethod, const std::string& aBody)
+  {
+    HttpCall call;
+    call.m_method = aMethod;
+    call.m_host = absl::GetFlag(FLAGS_agent);
+    call.m_path = kHeartbeatPath + m_heartbeat.m_id;
+    call.m_contentType = "application/json";
+    call.m_body = aBody;
+    call.m_timeout = Seconds(1);
+    m_client.Send(call, [](const HttpResult&) {});
+  }
+
+  void SendHeartbeat()
+  {
+    m_heartbeat.m_sequence += 1;
+    Call("PUT", EncodeHeartbeat(m_heartbeat, "a"));
+  }
+
+  void OnPacket(std::span<uint8_t> aBytes)
+  {
+    std::optional<PacketHeader> header = DecodeHeader(aBytes);
+    if (!header) {
+      return;
+    }
+    FlowKey key = header->FlowFromCaller();
+    if (header->IsOpening()) {
+      Held& held = m_held[key];
+      held.m_seq = held.m_seq == 0 ? m_random() | 1U : held.m_seq;
+      return Send(key, kSyn | kAck, held.m_seq, 0);
+    }
+    auto found = m_held.find(key);
+    bool isHeld = found != m_held.end() &&
+                  header->m_ack - found->second.m_seq <= kAnswerBytes + 2U;
+    if (!isHeld) {
+      PacketHeader bounced = *header;
+      bounced.m_flags |= kBounced;
+      bounced.m_mark = 0;
+      HeaderBytes bytes = EncodeHeader(bounced);
+      std::copy(bytes.begin(), bytes.end(), aBytes.begin());
+      return m_socket->Send(aBytes, m_outbound);
+    }
+    if (header->m_length > 0 && !found->second.m_hasRequest) {
+      found->second.m_hasRequest = true;
+      m_waiting.push_back(key);
+      RunWaiting();
+    }
+  }
+
+  void RunWaiting()
+  {
+    while (m_running < absl::GetFlag(FLAGS_slots) && !m_waiting.empty()) {
+      FlowKey key = m_waiting.front();
+      m_waiting.pop_front();
+      m_running += 1;
+      m_loop.After(Milliseconds(absl::GetFlag(FLAGS_work_ms)), [this, key] {
+        m_running -= 1;
+        Send(key, kAck | kFin, m_held[key].m_seq + 1, kAnswerBytes);
+        RunWaiting();
+      });
+    }
+  }
+
+  void Send(const FlowKey& aKey,
+            uint8_t aFlags,
+            uint32_t aSeq,
+            uint16_t aLength)
+  {
+    PacketHeader header;
+    header.m_source = aKey.m_service;
+    header.m_destination = aKey.m_caller;
+    header.m_flags = aFlags;
+    header.m_seq = aSeq;
+    header.m_length = aLength;
+    HeaderBytes head = EncodeHeader(header);
+    std::vector<uint8_t> bytes(head.begin(), head.end());
+    bytes.resize(bytes.size() + aLength);
+    m_socket->Send(bytes, m_outbound);
+  }
+
+  Endpoint m_outbound;
+  FlowLoop m_loop;
+  HttpClient m_client;
+  FlowLoop::Socket* m_socket = nullptr;
+  ServerHeartbeat m_heartbeat;
+  std::mt19937 m_random{ std::random_device{}() };
+  std::map<FlowKey, Held> m_held;
+  std::deque<FlowKey> m_waiting;
+  int m_running = 0;
+};
+
+} // namespace
+
+int
+main(int aArgumentCount, char** aArguments)
+{
+  absl::ParseCommandLine(aArgumentCount, aArguments);
+  sigset_t signals = BlockStopSignals();
+  FlowServer server;
+  Result<void> started = server.Start();
+  if (!started) {
+    std::cerr << started.error() << "\n";
+    return 1;
+  }
+  std::thread([&] {
+    WaitForStop(signals);
+    server.Leave();
+  }).detach();
+  server.Run();
+  std::_Exit(0);
+}
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -1,12 +1,15 @@
-// A stand-in of the platform's object API: versions, conditional updates,
-// watches, and faults on request.
+// A stand-in of the platform's store: objects by kind with one revision
+// counter, conditional writes, watches with a bounded history, and faults on
+// request.
 
+#include "HttpPaths.h"
 #include "HttpServer.h"
 #include "StandInMain.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -16,82 +19,153 @@
 namespace {
 
 using namespace bilberryfield;
+using nlohmann::json;
 
-struct Stored
+constexpr size_t kMaxValueBytes = size_t{ 1024 } * 1024;
+constexpr size_t kHistoryEvents = 1000;
+
+struct Event
 {
-  std::string m_value;
-  uint64_t m_version = 0;
+  uint64_t m_revision = 0;
+  std::string m_kind;
+  json m_event;
 };
 
+HttpOutgoing
+Answer(uint16_t aStatus, const json& aBody = nullptr)
+{
+  return {
+    aStatus, {}, "application/json", aBody.is_null() ? "" : aBody.dump()
+  };
+}
+
 class Objects
 {
 public:
-  HttpOutgoing Get(const std::string& aKey)
+  HttpOutgoing Read(const std::string& aKind, const std::string& aName)
+  {
+    std::lock_guard lock(m_mutex);
+    auto found = m_objects[aKind].find(aName);
+    return found == m_objects[aKind].end() ? Answer(404)
+                                           : Answer(200, found->second);
+  }
+
+  HttpOutgoing List(const std::string& aKind)
   {
     std::lock_guard lock(m_mutex);
-    return Show(aKey);
+    json items = json::array();
+    for (const auto& [name, object] : m_objects[aKind]) {
+      items.push_back(object);
+    }
+    return Answer(
+      200, { { "items", items }, { "more", false }, { "at", m_revision } });
   }
 
-  HttpOutgoing Watch(const std::string& aKey,
-                     uint64_t aSeen,
+  HttpOutgoing Watch(const std::string& aKind,
+                     uint64_t aRevision,
                      std::chrono::milliseconds aWait)
   {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(
-      lock, aWait, [&] { return m_objects[aKey].m_version > aSeen; });
-    if (m_objects[aKey].m_version <= aSeen) {
-      return { 304, {}, "", "" };
+    json events = json::array();
+    m_changed.wait_for(lock, aWait, [&] {
+      events = EventsAfter(aKind, aRevision);
+      return !events.empty() || aRevision < m_oldest;
+    });
+    if (aRevision < m_oldest) {
+      return Answer(410);
     }
-    return Show(aKey);
+    return Answer(200, { { "events", events }, { "at", m_revision } });
   }
 
-  HttpOutgoing Put(const std::string& aKey,
-                   const std::string& aValue,
-                   uint64_t aExpected)
+  HttpOutgoing Create(const std::string& aKind, const json& aObject)
   {
-    constexpr size_t kMaxValueBytes = size_t{ 1024 } * 1024;
-    if (aValue.size() > kMaxValueBytes) {
-      return { 413, {}, "text/plain", "value too large\n" };
+    std::lock_guard lock(m_mutex);
+    auto name = aObject.at("meta").at("name").get<std::string>();
+    auto found = m_objects[aKind].find(name);
+    if (found != m_objects[aKind].end()) {
+      return Answer(409, found->second);
     }
+    return Answer(201, Store(aKind, name, aObject));
+  }
+
+  HttpOutgoing Replace(const std::string& aKind,
+                       const std::string& aName,
+                       const json& aObject)
+  {
     std::lock_guard lock(m_mutex);
-    Stored& object = m_objects[aKey];
-    if (object.m_version != aExpected) {
-      return { 412, {}, "text/plain", "other version\n" };
+    auto found = m_objects[aKind].find(aName);
+    if (found == m_objects[aKind].end()) {
+      return Answer(404);
     }
-    object = { aValue, ++m_lastVersion };
-    m_changed.notify_all();
-    return Show(aKey);
+    uint64_t present = found->second["meta"]["revision"];
+    if (aObject.at("meta").value("revision", present) != present) {
+      return Answer(409, found->second);
+    }
+    if (found->second["spec"] == aObject.at("spec")) {
+      return Answer(200, found->second);
+    }
+    return Answer(200, Store(aKind, aName, aObject));
   }
 
-  HttpOutgoing List(const std::string& aPrefix)
+  HttpOutgoing Remove(const std::string& aKind, const std::string& aName)
   {
     std::lock_guard lock(m_mutex);
-    nlohmann::json names = nlohmann::json::array();
-    for (const auto& [key, object] : m_objects) {
-      if (object.m_version > 0 && key.starts_with(aPrefix)) {
-        names.push_back(key);
-      }
+    auto found = m_objects[aKind].find(aName);
+    if (found == m_objects[aKind].end()) {
+      return Answer(404);
     }
-    return { 200, {}, "application/json", names.dump() };
+    json object = found->second;
+    m_objects[aKind].erase(found);
+    Record(aKind, { { "removed", true }, { "object", object } });
+    return Answer(200, object);
+  }
+
+  void DropHistory()
+  {
+    std::lock_guard lock(m_mutex);
+    m_history.clear();
+    m_oldest = m_revision;
+    m_changed.notify_all();
   }
 
 private:
-  HttpOutgoing Show(const std::string& aKey)
+  json EventsAfter(const std::string& aKind, uint64_t aRevision) const
   {
-    const Stored& object = m_objects[aKey];
-    if (object.m_version == 0) {
-      return { 404, {}, "", "" };
+    json events = json::array();
+    for (const Event& event : m_history) {
+      if (event.m_revision > aRevision && event.m_kind == aKind) {
+        events.push_back(event.m_event);
+      }
+    }
+    return events;
+  }
+
+  json Store(const std::string& aKind, const std::string& aName, json aObject)
+  {
+    aObject["meta"]["name"] = aName;
+    aObject["meta"]["revision"] = m_revision + 1;
+    m_objects[aKind][aName] = aObject;
+    Record(aKind, { { "removed", false }, { "object", aObject } });
+    return aObject;
+  }
+
+  void Record(const std::string& aKind, json aEvent)
+  {
+    m_history.push_back({ ++m_revision, aKind, std::move(aEvent) });
+    if (m_history.size() > kHistoryEvents) {
+      m_oldest = m_history.front().m_revision;
+      m_history.pop_front();
     }
-    return { 200,
-             { { "ETag", std::to_string(object.m_version) } },
-             "application/octet-stream",
-             object.m_value };
+    m_changed.notify_all();
   }
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
-  std::map<std::string, Stored> m_objects;
-  uint64_t m_lastVersion = 0;
+  std::map<std::string, std::map<std::string, json>> m_objects;
+  std::deque<Event> m_history;
+  uint64_t m_revision = 1;
+  /** Watches from before this revision have lost events. */
+  uint64_t m_oldest = 0;
 };
 
 struct Faults
@@ -101,42 +175,72 @@
   std::atomic<int> m_lostAnswers{ 0 };
 };
 
+uint64_t
+Number(const std::string& aText)
+{
+  return std::strtoull(aText.c_str(), nullptr, 10);
+}
+
 HttpOutgoing
-Answer(Objects& aObjects, Faults& aFaults, const HttpIncoming& aRequest)
+Write(Objects& aObjects,
+      const HttpIncoming& aRequest,
+      const std::string& aKind,
+      const std::string& aName)
+{
+  if (aRequest.m_body.size() > kMaxValueBytes) {
+    return Answer(413);
+  }
+  if (aRequest.m_method == "DELETE") {
+    return aObjects.Remove(aKind, aName);
+  }
+  json body = json::parse(aRequest.m_body, nullptr, false);
+  if (!body.is_object() || !body.contains("meta")) {
+    return Answer(400);
+  }
+  return aName.empty() ? aObjects.Create(aKind, body)
+                       : aObjects.Replace(aKind, aName, body);
+}
+
+HttpOutgoing
+Handle(Objects& aObjects, Faults& aFaults, const HttpIncoming& aRequest)
 {
-  const std::string prefix = "/objects/";
   if (aRequest.m_path == "/faults") {
     aFaults.m_isOut = aRequest.Parameter("outage") == "1";
     aFaults.m_lostAnswers = std::atoi(aRequest.Parameter("lost").c_str());
+    if (aRequest.Parameter("compact") == "1") {
+      aObjects.DropHistory();
+    }
     return { 200, {}, "", "" };
   }
   if (aFaults.m_isOut) {
-    return { 503, {}, "text/plain", "outage\n" };
-  }
-  if (aRequest.m_path == "/list") {
-    return aObjects.List(aRequest.Parameter("prefix"));
-  }
-  std::string key =
-    aRequest.m_path.substr(std::min(prefix.size(), aRequest.m_path.size()));
-  if (aRequest.m_method == "PUT") {
-    HttpOutgoing stored = aObjects.Put(
-      key,
-      aRequest.m_body,
-      std::strtoull(aRequest.Header("if-match").c_str(), nullptr, 10));
+    return Answer(503);
+  }
+  if (!aRequest.m_path.starts_with(kObjectsPath)) {
+    return Answer(404);
+  }
+  std::string rest = aRequest.m_path.substr(std::string(kObjectsPath).size());
+  size_t slash = rest.find('/');
+  std::string kind = rest.substr(0, slash);
+  std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+  if (aRequest.m_method != "GET") {
+    HttpOutgoing written = Write(aObjects, aRequest, kind, name);
     if (aFaults.m_lostAnswers > 0) {
       aFaults.m_lostAnswers -= 1;
-      return { 504, {}, "text/plain", "lost\n" };
+      return Answer(504);
     }
-    return stored;
+    return written;
+  }
+  if (!name.empty()) {
+    return aObjects.Read(kind, name);
   }
   std::string watch = aRequest.Parameter("watch");
   if (watch.empty()) {
-    return aObjects.Get(key);
+    return aObjects.List(kind);
   }
-  return aObjects.Watch(key,
-                        std::strtoull(watch.c_str(), nullptr, 10),
-                        std::chrono::milliseconds(
-                          std::atoi(aRequest.Parameter("wait_ms").c_str())));
+  return aObjects.Watch(
+    kind,
+    Number(watch),
+    std::chrono::milliseconds(Number(aRequest.Parameter("wait-ms"))));
 }
 
 } // namespace
@@ -151,7 +255,7 @@
   HttpServer server({}, [&](HttpIncoming aRequest, HttpReply aReply) {
     // A watch waits, so it must not hold up the server's threads.
     std::thread([&, request = std::move(aRequest), reply = std::move(aReply)] {
-      reply(Answer(objects, faults, request));
+      reply(Handle(objects, faults, request));
     }).detach();
   });
   Result<uint16_t> port = server.Start(absl::GetFlag(FLAGS_listen));
--- a/test/process/AuditTrail.cpp
+++ b/test/process/AuditTrail.cpp
@@ -1,6 +1,6 @@
 #include "Audit.h"
 #include "Codec.h"
-#include "PlatformClient.h"
+#include "KeyedStore.h"
 #include "ProcessFixture.h"
 
 #include <csignal>
@@ -19,7 +19,7 @@
   cr_assert(cluster.WaitForAgent("catalogue-1") == 0);
   callers.Stop();
 
-  PlatformClient platform(cluster.PlatformAddress());
+  KeyedStore platform(cluster.PlatformAddress());
   auto keys = platform.List("journal/catalogue-1/");
   cr_assert(keys && !keys->empty());
   std::string origin;
