Encode a report once for all balancers; gather changes of the store

Cause: an agent encoded its report for each balancer, and each change in a series cost every balancer a call. Change: one encoding a tick; reports every 40 ms unless a server fills up or becomes free; 150 ms between a change and the next watch; tries every 0.25 s while nothing is known.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kSubscriptionLife = Seconds(4);
 /** Time between two reports when nothing has changed. */
 constexpr Duration kReportEvery = Milliseconds(100);
+/** As kReportEvery, when the load has changed but not whether it is full. */
+constexpr Duration kChangedReportEvery = Milliseconds(40);
 /** Time in which a server that works answers an opening packet. */
 constexpr Duration kOpeningAnswerLimit = Milliseconds(60);
 /** Time after which a busy flow no longer counts as load. */
@@ -280,7 +282,7 @@
 }
 
 // Balancers of the same failure domain place most of the flows here, so they
-// hear of each change; the others hear at a steady pace.
+// hear of changes soon; the others hear at a steady pace.
 bool
 FlowAgent::IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const
 {
@@ -288,11 +290,17 @@
       aSubscriber.m_reportedCondition != Condition(aNow)) {
     return true;
   }
-  return aSubscriber.m_domain == m_options.m_domain &&
-         aSubscriber.m_reportedBusy != m_busy;
+  if (aSubscriber.m_domain != m_options.m_domain ||
+      aSubscriber.m_reportedBusy == m_busy) {
+    return false;
+  }
+  uint32_t slots = Load().m_slots;
+  bool wasFull = aSubscriber.m_reportedBusy >= slots;
+  return wasFull != (m_busy >= slots) ||
+         aNow - aSubscriber.m_reportedAt >= kChangedReportEvery;
 }
 
-std::vector<ReportTo>
+DueReports
 FlowAgent::OnTick(TimePoint aNow)
 {
   EndStuckFlows(aNow);
@@ -304,7 +312,7 @@
   std::erase_if(m_subscribers, [&](const auto& aItem) {
     return aNow - aItem.second.m_heardAt > kSubscriptionLife;
   });
-  std::vector<ReportTo> reports;
+  DueReports reports;
   for (auto& [ip, subscriber] : m_subscribers) {
     if (!IsReportDue(aNow, subscriber)) {
       continue;
@@ -312,7 +320,10 @@
     subscriber.m_reportedAt = aNow;
     subscriber.m_reportedBusy = m_busy;
     subscriber.m_reportedCondition = Condition(aNow);
-    reports.push_back({ ip, MakeReport(aNow) });
+    reports.m_balancerIps.push_back(ip);
+  }
+  if (!reports.m_balancerIps.empty()) {
+    reports.m_report = MakeReport(aNow);
   }
   return reports;
 }
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -69,10 +69,10 @@
   absl::InlinedVector<uint8_t, 40> m_bytes;
 };
 
-/** A report for one balancer. */
-struct ReportTo
+/** One report for several balancers. */
+struct DueReports
 {
-  uint32_t m_balancerIp = 0;
+  std::vector<uint32_t> m_balancerIps;
   ServerLoad m_report;
 };
 
@@ -108,7 +108,7 @@
   void BeginShutdown() { m_isStopping = true; }
 
   /** Reports that are due; to be called every kTick. */
-  std::vector<ReportTo> OnTick(TimePoint aNow);
+  DueReports OnTick(TimePoint aNow);
 
   /** Opening packets that the server left unanswered; each is given once. */
   std::vector<UnansweredOpening> TakeUnanswered(TimePoint aNow);
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -280,9 +280,14 @@
 void
 AgentDaemon::SendControl(uint32_t aIp, const FlowMessage& aMessage)
 {
-  std::string text = EncodeFlowMessage(aMessage);
+  SendText(aIp, EncodeFlowMessage(aMessage));
+}
+
+void
+AgentDaemon::SendText(uint32_t aIp, const std::string& aText)
+{
   m_control->Send(
-    { reinterpret_cast<const uint8_t*>(text.data()), text.size() },
+    { reinterpret_cast<const uint8_t*>(aText.data()), aText.size() },
     { aIp, m_settings.m_controlPort });
 }
 
@@ -304,8 +309,12 @@
                HandBack::Silent,
                { opening.m_bytes.data(), opening.m_bytes.size() });
   }
-  for (const ReportTo& report : m_core.OnTick(now)) {
-    SendControl(report.m_balancerIp, report.m_report);
+  DueReports due = m_core.OnTick(now);
+  if (!due.m_balancerIps.empty()) {
+    std::string text = EncodeFlowMessage(due.m_report);
+    for (uint32_t ip : due.m_balancerIps) {
+      SendText(ip, text);
+    }
   }
   bool isServerHere =
     condition != ServerCondition::Unknown && condition != ServerCondition::Gone;
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -36,6 +36,7 @@
                   HandBack aReason,
                   std::span<uint8_t> aBytes);
   void SendControl(uint32_t aIp, const FlowMessage& aMessage);
+  void SendText(uint32_t aIp, const std::string& aText);
   HttpOutgoing OnServerCall(const HttpIncoming& aRequest);
   void OnHeartbeat(const ServerHeartbeat& aHeartbeat);
   HttpOutgoing Metrics() const;
--- a/packages/flownode/StoreFollower.cpp
+++ b/packages/flownode/StoreFollower.cpp
@@ -10,8 +10,12 @@
 
 /** Each watch costs a call when it ends, so it waits long. */
 constexpr Duration kWatchWait = Seconds(25);
+/** Pause after a change before the next watch. */
+constexpr Duration kGatherChanges = Milliseconds(150);
 constexpr Duration kFirstRetry = Milliseconds(100);
 constexpr Duration kMaxRetry = Milliseconds(800);
+/** As kMaxRetry, while nothing is known yet and no caller can be served. */
+constexpr Duration kMaxRetryUnlisted = Milliseconds(250);
 /** Failures after which the time between two tries grows no more. */
 constexpr uint32_t kMaxDoublings = 3;
 
@@ -88,10 +92,12 @@
       m_objects[name] = std::move(change.m_object);
     }
   }
-  if (!aChanges->m_changes.empty()) {
-    m_onChange(m_objects, m_revision);
+  if (aChanges->m_changes.empty()) {
+    return Watch();
   }
-  Watch();
+  m_onChange(m_objects, m_revision);
+  // Changes often come in series; one call then brings several.
+  m_loop.After(kGatherChanges, [this] { Watch(); });
 }
 
 void
@@ -115,7 +121,8 @@
         { { "kind", m_kind }, { "detail", aError.m_detail } });
   }
   Duration pause = std::min<Duration>(
-    kFirstRetry * (1 << std::min(m_failures - 1, kMaxDoublings)), kMaxRetry);
+    kFirstRetry * (1 << std::min(m_failures - 1, kMaxDoublings)),
+    m_revision == 0 ? kMaxRetryUnlisted : kMaxRetry);
   // Processes that lost the store together shall not return together.
   std::uniform_int_distribution<Duration::rep> jitter(0, pause.count() / 2);
   m_loop.After(pause + Duration(jitter(m_random)),
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -238,11 +238,11 @@
                  HandBack::Silent,
                  FromBytes({ opening.m_bytes.data(), opening.m_bytes.size() }));
     }
-    for (const ReportTo& report : server.m_agent->OnTick(m_now)) {
-      Travel([this, report, agentIp = ip] {
-        size_t balancer = BalancerAt(report.m_balancerIp);
-        m_balancers[balancer].m_core->Agents().OnReport(
-          m_now, agentIp, report.m_report);
+    DueReports due = server.m_agent->OnTick(m_now);
+    for (uint32_t balancerIp : due.m_balancerIps) {
+      Travel([this, balancerIp, report = due.m_report, agentIp = ip] {
+        size_t balancer = BalancerAt(balancerIp);
+        m_balancers[balancer].m_core->Agents().OnReport(m_now, agentIp, report);
       });
     }
   }
