--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -1,5 +1,7 @@
 #include "FlowAgent.h"
 
+#include "Placement.h"
+
 #include <algorithm>
 
 namespace bilberryfield {
@@ -16,8 +18,8 @@
 constexpr Duration kOpeningAnswerLimit = Milliseconds(60);
 /** Time after which a busy flow no longer counts as load. */
 constexpr Duration kBusyLimit = Seconds(10);
-/** As kBusyLimit, for a flow whose caller sent no request. */
-constexpr Duration kOpeningBusyLimit = Milliseconds(1500);
+/** Time in which a caller answers a server that opened its flow. */
+constexpr Duration kConfirmLimit = Milliseconds(120);
 /** Bytes that an acknowledgement may be ahead of the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
 /** Flows that are remembered as not being at the server. */
@@ -135,7 +137,8 @@
     return GiveBack(HandBack::NotAccepting, aBalancerIp);
   }
   bool mayQueue = aHeader.m_mark == static_cast<uint32_t>(OpenMode::Queue);
-  if (!mayQueue && m_busy >= Load().m_slots) {
+  uint32_t slots = Load().m_slots;
+  if (IsAtLimit(m_busy, slots) || (!mayQueue && m_busy >= slots)) {
     return GiveBack(HandBack::Full, aBalancerIp);
   }
   m_denied.Erase(key);
@@ -144,6 +147,7 @@
   m_busy += 1;
   m_openingCount += 1;
   m_busyEntries.push_back({ aNow, key });
+  m_unconfirmed.push_back({ aNow, key });
   m_openings.push_back(
     { aNow, { key, aBalancerIp, { aBytes.begin(), aBytes.end() } } });
   return { FlowAgentAction::Deliver };
@@ -160,7 +164,7 @@
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server holds the flow from before this agent's start.
-    flow = &m_flows.Insert(key, { Phase::Answering, false, 0, {} });
+    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {} });
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
@@ -169,11 +173,24 @@
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     SetPhase(aNow, key, *flow, Phase::Closed);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
-    SetPhase(aNow, key, *flow, Phase::Answering);
+    if (flow->m_phase != Phase::Idle) {
+      NoteAnswerTime(aNow - flow->m_busySince);
+    }
+    SetPhase(aNow, key, *flow, Phase::Idle);
   }
   return { FlowAgentAction::ToCaller };
 }
 
+void
+FlowAgent::NoteAnswerTime(Duration aTime)
+{
+  m_answerTimes.Add(aTime);
+  auto sample = static_cast<double>(aTime.count());
+  m_answerUs = m_answerUs == 0
+                 ? sample
+                 : m_answerUs + kAnswerTimeGain * (sample - m_answerUs);
+}
+
 AgentVerdict
 FlowAgent::OnBounced(const PacketHeader& aHeader)
 {
@@ -214,13 +231,6 @@
   }
   if (!isBusy && wasBusy) {
     m_busy -= 1;
-    if (aPhase == Phase::Answering) {
-      m_answerTimes.Add(aNow - aFlow.m_busySince);
-      auto sample = static_cast<double>((aNow - aFlow.m_busySince).count());
-      m_answerUs = m_answerUs == 0
-                     ? sample
-                     : m_answerUs + kAnswerTimeGain * (sample - m_answerUs);
-    }
   }
 }
 
@@ -304,6 +314,7 @@
 FlowAgent::OnTick(TimePoint aNow)
 {
   EndStuckFlows(aNow);
+  EndUnconfirmed(aNow);
   if (aNow >= m_nextPeriod) {
     m_nextPeriod = aNow + m_options.m_maxFlowAge;
     m_flows.EndPeriod();
@@ -333,20 +344,30 @@
 FlowAgent::EndStuckFlows(TimePoint aNow)
 {
   while (!m_busyEntries.empty() &&
-         aNow - m_busyEntries.front().m_since > kOpeningBusyLimit) {
+         aNow - m_busyEntries.front().m_since > kBusyLimit) {
     BusyEntry entry = m_busyEntries.front();
     m_busyEntries.pop_front();
     Flow* flow = m_flows.Find(entry.m_flow);
-    if (!flow || flow->m_busySince != entry.m_since ||
-        !IsBusyPhase(static_cast<int>(flow->m_phase))) {
-      continue;
+    if (flow && flow->m_busySince == entry.m_since) {
+      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
     }
-    if (flow->m_phase == Phase::Opening || aNow - entry.m_since > kBusyLimit) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Closed);
-      continue;
+  }
+}
+
+// A caller that gave up while its opening packet waited never answers; such
+// flows must not take the place of others.
+void
+FlowAgent::EndUnconfirmed(TimePoint aNow)
+{
+  while (!m_unconfirmed.empty() &&
+         aNow - m_unconfirmed.front().m_since > kConfirmLimit) {
+    BusyEntry entry = m_unconfirmed.front();
+    m_unconfirmed.pop_front();
+    Flow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_phase == Phase::Opening &&
+        flow->m_busySince == entry.m_since) {
+      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
     }
-    m_busyEntries.push_back(entry);
-    break;
   }
 }
 
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -142,7 +142,7 @@
   {
     Opening,   // The opening packet is at the server.
     Requested, // A request waits or runs.
-    Answering, // The server has begun to answer.
+    Idle,      // No request waits or runs.
     Closed,    // Either end has closed.
   };
 
@@ -179,12 +179,14 @@
                          const PacketHeader& aHeader,
                          PacketBytes aBytes,
                          uint32_t aBalancerIp);
+  void NoteAnswerTime(Duration aTime);
   AgentVerdict OnBounced(const PacketHeader& aHeader);
   AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp);
   bool MayMissFlows(TimePoint aNow) const;
   static bool IsOtherServers(const Flow& aFlow, uint32_t aAck);
   void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
   void EndStuckFlows(TimePoint aNow);
+  void EndUnconfirmed(TimePoint aNow);
   ServerLoad MakeReport(TimePoint aNow) const;
   bool IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const;
 
@@ -202,6 +204,8 @@
   std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
   uint64_t m_openingCount = 0;
   std::deque<BusyEntry> m_busyEntries;
+  /** Openings that the server answered, until the caller's next packet. */
+  std::deque<BusyEntry> m_unconfirmed;
   std::deque<OpeningEntry> m_openings;
   std::map<uint32_t, Subscriber> m_subscribers;
   VersionHolder m_routes;
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -274,6 +274,12 @@
   m_flows.push_back(flow);
   CallerSends(number, kSyn, 0);
   CallerRepeats(number, Milliseconds(200));
+  At(m_patience, [this, number] {
+    FakeFlow& late = m_flows[number];
+    if (late.m_state == FlowState::Opening || late.m_state == FlowState::Open) {
+      late.m_state = FlowState::GivenUp;
+    }
+  });
   return number;
 }
 
@@ -451,12 +457,17 @@
     AgentVerdict verdict = aServer.m_agent->OnServerPacket(m_now, bounced);
     return FromAgent(aServer, verdict, bounced, bounced.m_tag);
   }
-  found->second.m_isOpen = true;
+  Held& held = found->second;
+  held.m_isOpen = true;
   if (flow.m_server == 0) {
     flow.m_server = aServer.m_ip;
   }
   if (aHeader.m_length > 0 && !found->second.m_hasRequest) {
     found->second.m_hasRequest = true;
+    if (aServer.m_waiting.size() >= m_serverQueue) {
+      m_flows[m_numbers.at(key)].m_state = FlowState::Shed;
+      return FromServer(aServer, key, kAck | kFin, held.m_seq + 1, 1);
+    }
     aServer.m_waiting.push_back(key);
     RunWaiting(aServer);
   }
@@ -503,7 +514,7 @@
 {
   size_t number = m_numbers.at(aHeader.FlowFromServer());
   FakeFlow& flow = m_flows[number];
-  if (flow.m_state == FlowState::Answered) {
+  if (flow.m_state != FlowState::Opening && flow.m_state != FlowState::Open) {
     return;
   }
   if (aHeader.Has(kReset)) {
