--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -13,12 +13,6 @@
 constexpr size_t kMaxHeld = 4;
 /** Time after which a search goes on without the missing answers. */
 constexpr Duration kAnswerLimit = Milliseconds(30);
-/** New flows that may wait for a server. */
-constexpr size_t kMaxWaiting = 1'000;
-/** Longest wait of a new flow; callers give up an opening after 1.4 s. */
-constexpr Duration kMaxWait = Milliseconds(1200);
-/** Longest wait as a part of the caller's timeout, in percent. */
-constexpr int kWaitPercent = 40;
 /** Hand-backs after which a new flow waits for a slot. */
 constexpr uint8_t kTriesIfFree = 2;
 /** A longer gap between two ticks is a pause of this process. */
@@ -34,7 +28,6 @@
   : m_agents(std::move(aDomain))
   , m_random(aSeed)
   , m_flows(kMaxFlows)
-  , m_queue(kMaxWaiting)
 {
 }
 
@@ -139,120 +132,41 @@
       return m_steps;
     }
   }
-  if (m_queue.Contains(key)) {
-    return m_steps;
-  }
-  m_flows.Insert(key, { 0, aHeader.m_seq, true, aNow, 0, {} });
-  PlaceOpening(aNow, aHeader, aBytes, *route, FlowReason::Placed);
+  m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
+  PlaceOpening(aNow, aHeader, *route, false);
   return m_steps;
 }
 
-FlowBalancer::PlaceEnd
-FlowBalancer::TryPlace(TimePoint aNow,
-                       const PacketHeader& aHeader,
-                       const std::string& aService,
-                       FlowReason aReason)
+void
+FlowBalancer::PlaceOpening(TimePoint aNow,
+                           const PacketHeader& aHeader,
+                           const Route& aRoute,
+                           bool aIsAgain)
 {
   FlowKey key = aHeader.FlowFromCaller();
   Flow* flow = m_flows.Find(key);
+  const std::string& service = ChooseTarget(aRoute, key);
   std::vector<PlacementCandidate> candidates = m_agents.Candidates(
-    aNow, aService, { flow->m_tried.data(), flow->m_tryCount });
+    aNow, service, { flow->m_tried.data(), flow->m_tryCount });
   std::optional<PlacementChoice> choice = ChoosePlacement(candidates, m_random);
-  if (!choice && flow->m_tryCount > 0) {
-    // All others are full; those that were tried may have room by now.
-    candidates = m_agents.Candidates(aNow, aService, {});
+  if (!choice && flow->m_tryCount > 0 && flow->m_tryCount < kMaxTries) {
+    // All have been tried; those that were only full may let it wait.
+    candidates = m_agents.Candidates(aNow, service, {});
     choice = ChoosePlacement(candidates, m_random);
   }
   if (!choice) {
-    return candidates.empty() ? PlaceEnd::NoServer : PlaceEnd::Full;
+    return RefuseOpening(aNow, aHeader, service);
   }
   uint32_t agentIp = candidates[choice->m_index].m_agentIp;
   flow->m_agentIp = agentIp;
   bool mayQueue =
     choice->m_mode == OpenMode::Queue || flow->m_tryCount >= kTriesIfFree;
   m_agents.OnPlaced(agentIp);
-  Forward(key, agentIp, aReason);
+  Forward(
+    key, agentIp, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
   NoteInputs(aNow, candidates[choice->m_index], candidates.size());
   m_steps.back().m_mark =
     static_cast<uint32_t>(mayQueue ? OpenMode::Queue : OpenMode::IfFree);
-  return PlaceEnd::Placed;
-}
-
-void
-FlowBalancer::PlaceOpening(TimePoint aNow,
-                           const PacketHeader& aHeader,
-                           PacketBytes aBytes,
-                           const Route& aRoute,
-                           FlowReason aReason)
-{
-  const std::string& service = ChooseTarget(aRoute, aHeader.FlowFromCaller());
-  // A new flow does not overtake those that wait already.
-  PlaceEnd end = m_queue.HasService(service)
-                   ? PlaceEnd::Full
-                   : TryPlace(aNow, aHeader, service, aReason);
-  if (end == PlaceEnd::Full) {
-    QueueOpening(aHeader, aBytes, aRoute, service);
-  } else if (end == PlaceEnd::NoServer) {
-    RefuseOpening(aNow, aHeader, service);
-  }
-}
-
-// Waiting here instead of at a server keeps the choice open: urgent flows go
-// first, and whichever server has room first gets the flow.
-void
-FlowBalancer::QueueOpening(const PacketHeader& aHeader,
-                           PacketBytes aBytes,
-                           const Route& aRoute,
-                           const std::string& aService)
-{
-  FlowKey key = aHeader.FlowFromCaller();
-  Duration limit = std::min<Duration>(
-    kMaxWait, Duration(aRoute.m_timeout) * kWaitPercent / 100);
-  bool isQueued = m_queue.Add({ aHeader,
-                                { aBytes.begin(), aBytes.end() },
-                                aService,
-                                aRoute.m_priority,
-                                m_flows.Find(key)->m_openedAt + limit });
-  if (isQueued) {
-    Flow* flow = m_flows.Find(key);
-    flow->m_agentIp = 0;
-    flow->m_tryCount = 0;
-    Add(FlowBalancerAction::Wait, FlowReason::Queued, key);
-    return;
-  }
-  m_flows.Erase(key);
-  Add(FlowBalancerAction::Reset, FlowReason::TooManyHeld, key, aHeader.m_ack);
-}
-
-void
-FlowBalancer::PlaceWaiting(TimePoint aNow)
-{
-  absl::flat_hash_set<std::string> fullServices;
-  m_queue.Visit([&](WaitingOpening& aOpening) {
-    FlowKey key = aOpening.m_header.FlowFromCaller();
-    if (aNow >= aOpening.m_until) {
-      m_flows.Erase(key);
-      Add(FlowBalancerAction::Reset,
-          FlowReason::WaitedTooLong,
-          key,
-          aOpening.m_header.m_ack);
-      return true;
-    }
-    if (fullServices.contains(aOpening.m_service)) {
-      return false;
-    }
-    if (!m_flows.Find(key)) {
-      m_flows.Insert(key, { 0, aOpening.m_header.m_seq, true, aNow, 0, {} });
-    }
-    PlaceEnd end =
-      TryPlace(aNow, aOpening.m_header, aOpening.m_service, FlowReason::Placed);
-    if (end != PlaceEnd::Placed) {
-      fullServices.insert(aOpening.m_service);
-      return false;
-    }
-    m_steps.back().m_held = std::move(aOpening.m_bytes);
-    return true;
-  });
 }
 
 void
@@ -310,7 +224,7 @@
   m_agents.OnHandBack(
     aAgentIp, aReason, static_cast<uint32_t>(aHeader.m_tag >> 16U));
   if (!flow || flow->m_openSeq != aHeader.m_seq) {
-    m_flows.Insert(key, { 0, aHeader.m_seq, true, aNow, 0, {} });
+    m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
     flow = m_flows.Find(key);
   }
   if (flow->m_agentIp != 0 && flow->m_agentIp != aAgentIp) {
@@ -319,16 +233,11 @@
     return m_steps;
   }
   if (flow->m_tryCount >= kMaxTries) {
-    const std::string& service = ChooseTarget(*route, key);
-    if (m_agents.Candidates(aNow, service, {}).empty()) {
-      RefuseOpening(aNow, aHeader, service);
-    } else {
-      QueueOpening(aHeader, aBytes, *route, service);
-    }
+    RefuseOpening(aNow, aHeader, ChooseTarget(*route, key));
     return m_steps;
   }
   flow->m_tried[flow->m_tryCount++] = aAgentIp;
-  PlaceOpening(aNow, aHeader, aBytes, *route, FlowReason::PlacedAgain);
+  PlaceOpening(aNow, aHeader, *route, true);
   return m_steps;
 }
 
@@ -444,7 +353,7 @@
   m_searchTimes.Add(aNow - found->second.m_startedAt);
   std::vector<std::vector<uint8_t>> held = std::move(found->second.m_held);
   m_searches.erase(found);
-  m_flows.Insert(aFlow, { aAgentIp, 0, false, aNow, 0, {} });
+  m_flows.Insert(aFlow, { aAgentIp, 0, false, 0, {} });
   for (std::vector<uint8_t>& packet : held) {
     Forward(aFlow, aAgentIp, aReason);
     m_steps.back().m_held = std::move(packet);
@@ -491,7 +400,6 @@
     m_nextPeriod = aNow + m_routes->m_flowIdleLimit;
     m_flows.EndPeriod();
   }
-  PlaceWaiting(aNow);
   std::vector<FlowKey> late;
   for (const auto& [key, search] : m_searches) {
     if (aNow - search.m_startedAt > kAnswerLimit) {
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -3,7 +3,6 @@
 #include "AgentList.h"
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
-#include "OpeningQueue.h"
 #include "RouteTable.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -18,39 +17,35 @@
   Forward, /**< To an agent. */
   Reset,   /**< Tell the caller that the flow is refused or lost. */
   Query,   /**< Ask an agent whether it has the flow. */
-  Wait,    /**< Kept until a server is free. */
   Drop,
 };
 
-inline constexpr NameTable<FlowBalancerAction, 5> kFlowBalancerActionNames = {
+inline constexpr NameTable<FlowBalancerAction, 4> kFlowBalancerActionNames = {
   { { FlowBalancerAction::Forward, "forward" },
     { FlowBalancerAction::Reset, "reset" },
     { FlowBalancerAction::Query, "query" },
-    { FlowBalancerAction::Wait, "wait" },
     { FlowBalancerAction::Drop, "drop" } }
 };
 
 /** Why a flow was placed, refused or dropped. */
 enum class FlowReason : uint8_t
 {
-  Known,         /**< The flow's server is known. */
-  Placed,        /**< A new flow was placed. */
-  PlacedAgain,   /**< Another server was chosen after a hand-back. */
-  Found,         /**< An agent claimed the flow. */
-  Tried,         /**< An agent that may have the flow is tried. */
-  NoRoute,       /**< No route has this address. */
-  NoServer,      /**< No server of the service can take the flow. */
-  NotYetLoaded,  /**< Routes or agents are not known yet. */
-  Malformed,     /**< A packet that no caller may send. */
-  Unowned,       /**< No agent has the flow. */
-  TooManyHeld,   /**< Too many packets wait for answers. */
-  Searched,      /**< Agents are asked for the flow. */
-  Queued,        /**< A new flow waits for a server. */
-  WaitedTooLong, /**< No server became free in time. */
+  Known,        /**< The flow's server is known. */
+  Placed,       /**< A new flow was placed. */
+  PlacedAgain,  /**< Another server was chosen after a hand-back. */
+  Found,        /**< An agent claimed the flow. */
+  Tried,        /**< An agent that may have the flow is tried. */
+  NoRoute,      /**< No route has this address. */
+  NoServer,     /**< No server of the service can take the flow. */
+  NotYetLoaded, /**< Routes or agents are not known yet. */
+  Malformed,    /**< A packet that no caller may send. */
+  Unowned,      /**< No agent has the flow. */
+  TooManyHeld,  /**< Too many packets wait for answers. */
+  Searched,     /**< Agents are asked for the flow. */
   Count,
 };
 
-inline constexpr NameTable<FlowReason, 14> kFlowReasonNames = { {
+inline constexpr NameTable<FlowReason, 12> kFlowReasonNames = { {
   { FlowReason::Known, "known" },
   { FlowReason::Placed, "placed" },
   { FlowReason::PlacedAgain, "placed-again" },
@@ -63,8 +58,6 @@
   { FlowReason::Unowned, "unowned" },
   { FlowReason::TooManyHeld, "too-many-held" },
   { FlowReason::Searched, "searched" },
-  { FlowReason::Queued, "queued" },
-  { FlowReason::WaitedTooLong, "waited-too-long" },
 } };
 
 /** One step that follows from a decision. */
@@ -134,8 +127,6 @@
   bool IsReady(TimePoint aNow) const;
 
   size_t FlowCount() const { return m_flows.Size(); }
-  /** New flows that wait for a server. */
-  size_t WaitingCount() const { return m_queue.Size(); }
   /** Time in which flows that this balancer did not know were found. */
   const LatencyHistogram& SearchTimes() const { return m_searchTimes; }
   uint64_t Counted(FlowReason aReason) const
@@ -154,8 +145,6 @@
     /** Sequence number of the opening packet, when this balancer saw it. */
     uint32_t m_openSeq = 0;
     bool m_sawOpening = false;
-    /** Arrival of the opening packet. */
-    TimePoint m_openedAt;
     uint8_t m_tryCount = 0;
     std::array<uint32_t, kMaxTries> m_tried{};
   };
@@ -178,28 +167,10 @@
   void NoteInputs(TimePoint aNow,
                   const PlacementCandidate& aChosen,
                   size_t aCount);
-  /** How an attempt to place a new flow ended. */
-  enum class PlaceEnd : uint8_t
-  {
-    Placed,
-    Full,     // Servers of the service are there, each at its limit.
-    NoServer, // No server of the service can take flows.
-  };
-
-  PlaceEnd TryPlace(TimePoint aNow,
-                    const PacketHeader& aHeader,
-                    const std::string& aService,
-                    FlowReason aReason);
   void PlaceOpening(TimePoint aNow,
                     const PacketHeader& aHeader,
-                    PacketBytes aBytes,
-                    const Route& aRoute,
-                    FlowReason aReason);
-  void QueueOpening(const PacketHeader& aHeader,
-                    PacketBytes aBytes,
                     const Route& aRoute,
-                    const std::string& aService);
-  void PlaceWaiting(TimePoint aNow);
+                    bool aIsAgain);
   /** Ends a new flow that no server can take. */
   void RefuseOpening(TimePoint aNow,
                      const PacketHeader& aHeader,
@@ -231,7 +202,6 @@
   absl::flat_hash_map<Endpoint, std::vector<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
   absl::flat_hash_map<FlowKey, Search> m_searches;
-  OpeningQueue m_queue;
   LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
--- a/packages/flow/Placement.cpp
+++ b/packages/flow/Placement.cpp
@@ -58,27 +58,24 @@
 ChoosePlacement(std::span<const PlacementCandidate> aCandidates,
                 std::mt19937_64& aRandom)
 {
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
   double mean = MeanAnswer(aCandidates);
   std::uniform_real_distribution<double> spread(0, kTieSpread);
-  std::optional<size_t> best;
+  size_t best = 0;
   double bestCost = 0;
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    if (IsAtLimit(aCandidates[i].m_busy, aCandidates[i].m_slots)) {
-      continue;
-    }
     double cost = Cost(aCandidates[i], mean) + spread(aRandom);
-    if (!best || cost < bestCost) {
+    if (i == 0 || cost < bestCost) {
       best = i;
       bestCost = cost;
     }
   }
-  if (!best) {
-    return std::nullopt;
-  }
-  const PlacementCandidate& chosen = aCandidates[*best];
+  const PlacementCandidate& chosen = aCandidates[best];
   OpenMode mode =
     chosen.m_busy < chosen.m_slots ? OpenMode::IfFree : OpenMode::Queue;
-  return PlacementChoice{ *best, mode };
+  return PlacementChoice{ best, mode };
 }
 
 } // namespace bilberryfield
--- a/packages/flow/Placement.h
+++ b/packages/flow/Placement.h
@@ -26,20 +26,10 @@
   OpenMode m_mode = OpenMode::IfFree;
 };
 
-/** Flows that may wait at a server, as a multiple of its slots. */
-inline constexpr uint32_t kMaxWaitingPerSlot = 2;
-
-/** True when a server shall get no further flow for now. */
-constexpr bool
-IsAtLimit(uint32_t aBusy, uint32_t aSlots)
-{
-  return aBusy >= (1 + kMaxWaitingPerSlot) * aSlots;
-}
-
 /**
  * Chooses the candidate where an answer is expected soonest. Servers in other
  * failure domains are taken only when that saves enough waiting. Nothing when
- * every candidate is at its limit.
+ * there are no candidates.
  */
 std::optional<PlacementChoice>
 ChoosePlacement(std::span<const PlacementCandidate> aCandidates,
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -350,7 +350,6 @@
       case FlowBalancerAction::Query:
         SendControl(step.m_agentIp, FlowQuery{ step.m_flow, step.m_number });
         break;
-      case FlowBalancerAction::Wait:
       case FlowBalancerAction::Drop:
         break;
     }
@@ -417,7 +416,6 @@
       return m_handedBack[static_cast<size_t>(aReason)];
     });
   text.Add("bilberry_flows", m_core.FlowCount());
-  text.Add("bilberry_waiting_flows", m_core.WaitingCount());
   text.Add("bilberry_routes_version", m_core.RoutesVersion());
   text.Add("bilberry_agents", m_core.Agents().All().size());
   text.Add("bilberry_agents_revision", m_core.Agents().Revision());
