Take the waiting of new flows back; count only confirmed openings

The three ways of letting new flows wait (at balancers, at agents, at agents up to the latency target) are reverted.

Kept: an opening that its caller does not confirm in 120 ms is no load, and a test for it.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -1,7 +1,5 @@
 #include "FlowAgent.h"
 
-#include "Placement.h"
-
 #include <algorithm>
 
 namespace bilberryfield {
@@ -137,8 +135,7 @@
     return GiveBack(HandBack::NotAccepting, aBalancerIp);
   }
   bool mayQueue = aHeader.m_mark == static_cast<uint32_t>(OpenMode::Queue);
-  uint32_t slots = Load().m_slots;
-  if (IsAtLimit(m_busy, slots) || (!mayQueue && m_busy >= slots)) {
+  if (!mayQueue && m_busy >= Load().m_slots) {
     return GiveBack(HandBack::Full, aBalancerIp);
   }
   m_denied.Erase(key);
@@ -354,8 +351,8 @@
   }
 }
 
-// A caller that gave up while its opening packet waited never answers; such
-// flows must not take the place of others.
+// A caller that left before its flow was open never answers; such a flow is no
+// load for the server.
 void
 FlowAgent::EndUnconfirmed(TimePoint aNow)
 {
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -204,7 +204,7 @@
   std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
   uint64_t m_openingCount = 0;
   std::deque<BusyEntry> m_busyEntries;
-  /** Openings that the server answered, until the caller's next packet. */
+  /** Openings, until the caller's next packet is due. */
   std::deque<BusyEntry> m_unconfirmed;
   std::deque<OpeningEntry> m_openings;
   std::map<uint32_t, Subscriber> m_subscribers;
--- a/packages/flow/RouteTable.h
+++ b/packages/flow/RouteTable.h
@@ -30,8 +30,6 @@
   uint32_t m_priority = 0;
   /** Time within which callers want their answer. */
   Milliseconds m_latencyTarget{ 0 };
-  /** Time after which callers give up. */
-  Milliseconds m_timeout{ 2'500 };
 
   bool operator==(const Route&) const = default;
 };
