--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 lint: deps
 	cmake -S . -B $(BUILD)/lint -G Ninja -DCMAKE_CXX_COMPILER=clang++ \
 	  -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON > /dev/null
-	run-clang-tidy -quiet -p $(BUILD)/lint '.*/(packages|standins)/.*\.cpp$$' > $(BUILD)/lint.log 2>&1 \
+	run-clang-tidy -quiet -p $(BUILD)/lint '.*/(packages|standins|platform)/.*\.cpp$$' > $(BUILD)/lint.log 2>&1 \
 	  || { grep -E 'warning:|error:' $(BUILD)/lint.log | sort -u; exit 1; }
 
 clean:
--- /dev/null
+++ b/test/fuzz/PlatformWire.cpp
@@ -0,0 +1,227 @@
+#include "AgentEntryCodec.h"
+#include "FlowCodec.h"
+#include "HeartbeatCodec.h"
+#include "OperatorConfig.h"
+#include "PacketCodec.h"
+#include "PeerSync.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+std::vector<uint8_t>
+SomePacket()
+{
+  PacketHeader header;
+  header.m_source = { 0x64400007, 40001 };
+  header.m_destination = { 0xC6120001, 443 };
+  header.m_flags = kAck;
+  header.m_seq = 0x11223344;
+  header.m_length = 20;
+  HeaderBytes head = EncodeHeader(header);
+  std::vector<uint8_t> bytes(head.begin(), head.end());
+  bytes.resize(bytes.size() + header.m_length);
+  return bytes;
+}
+
+// A text with some bytes changed, cut or repeated.
+std::string
+Damaged(std::string aText)
+{
+  int changes = *rc::gen::inRange(1, 8);
+  for (int i = 0; i < changes && !aText.empty(); ++i) {
+    size_t place = *rc::gen::inRange<size_t>(0, aText.size());
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        aText[place] = *rc::gen::arbitrary<char>();
+        break;
+      case 1:
+        aText.erase(place, *rc::gen::inRange<size_t>(1, 10));
+        break;
+      default:
+        aText.insert(place, aText.substr(0, place));
+        break;
+    }
+  }
+  return aText;
+}
+
+} // namespace
+
+Test(PlatformWire, APacketDecodesToWhatWasEncoded)
+{
+  cr_assert(rc::check("header round trip", [] {
+    PacketHeader header;
+    header.m_source = { *rc::gen::arbitrary<uint32_t>(),
+                        *rc::gen::arbitrary<uint16_t>() };
+    header.m_destination = { *rc::gen::arbitrary<uint32_t>(),
+                             *rc::gen::arbitrary<uint16_t>() };
+    header.m_flags = *rc::gen::inRange<uint8_t>(0, 32);
+    header.m_seq = *rc::gen::arbitrary<uint32_t>();
+    header.m_ack = *rc::gen::arbitrary<uint32_t>();
+    header.m_tag = *rc::gen::arbitrary<uint32_t>();
+    header.m_mark = *rc::gen::inRange<uint32_t>(0, 1U << 24U);
+    HeaderBytes bytes = EncodeHeader(header);
+    std::optional<PacketHeader> decoded = DecodeHeader(bytes);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(decoded->m_source == header.m_source);
+    RC_ASSERT(decoded->m_destination == header.m_destination);
+    RC_ASSERT(decoded->m_flags == header.m_flags);
+    RC_ASSERT(decoded->m_seq == header.m_seq);
+    RC_ASSERT(decoded->m_ack == header.m_ack);
+    RC_ASSERT(decoded->m_tag == header.m_tag);
+    RC_ASSERT(decoded->m_mark == header.m_mark);
+  }));
+}
+
+Test(PlatformWire, PacketsOfAWrongLengthAreRejected)
+{
+  std::vector<uint8_t> whole = SomePacket();
+  cr_assert(DecodeHeader(whole).has_value());
+  for (size_t size = 0; size < whole.size(); ++size) {
+    cr_assert_not(DecodeHeader({ whole.data(), size }).has_value());
+  }
+  whole.push_back(0);
+  cr_assert_not(DecodeHeader(whole).has_value());
+}
+
+Test(PlatformWire, UnknownFlagsAreRejected)
+{
+  constexpr size_t kFlagsOffset = 12;
+  for (uint8_t flag : { 16, 64, 128 }) {
+    std::vector<uint8_t> bytes = SomePacket();
+    bytes[kFlagsOffset] = flag;
+    cr_assert_not(DecodeHeader(bytes).has_value());
+  }
+}
+
+Test(PlatformWire, SystemFieldsLeaveTheRestOfAPacketAlone)
+{
+  cr_assert(rc::check("tag and mark", [] {
+    std::vector<uint8_t> bytes = SomePacket();
+    PacketHeader before = *DecodeHeader(bytes);
+    auto tag = *rc::gen::arbitrary<uint32_t>();
+    auto mark = *rc::gen::inRange<uint32_t>(0, 1U << 24U);
+    WriteSystemFields(bytes, tag, mark);
+    PacketHeader after = *DecodeHeader(bytes);
+    RC_ASSERT(after.m_tag == tag);
+    RC_ASSERT(after.m_mark == mark);
+    RC_ASSERT(after.m_seq == before.m_seq);
+    RC_ASSERT(after.m_length == before.m_length);
+    RC_ASSERT(after.m_source == before.m_source);
+    RC_ASSERT(after.m_destination == before.m_destination);
+  }));
+}
+
+Test(PlatformWire, AnyBytesDecodeToAPacketOrNothing)
+{
+  cr_assert(rc::check("any bytes", [] {
+    auto bytes = *rc::gen::arbitrary<std::vector<uint8_t>>();
+    std::optional<PacketHeader> header = DecodeHeader(bytes);
+    RC_ASSERT(!header || bytes.size() == kHeaderBytes + header->m_length);
+  }));
+}
+
+Test(PlatformWire, DamagedHeartbeatsNameAServerOrAnError)
+{
+  ServerHeartbeat heartbeat{ "s1", 1700000000000, 4, "desk", { 1, 2 },
+                             4,    false,         {} };
+  std::string whole = EncodeHeartbeat(heartbeat, "a");
+  Result<ServerHeartbeat> decoded = DecodeHeartbeat("s1", whole);
+  cr_assert(decoded.has_value());
+  cr_assert(decoded->m_born == heartbeat.m_born);
+  cr_assert(decoded->m_sequence == heartbeat.m_sequence);
+  cr_assert(rc::check("damaged heartbeat", [&] {
+    Result<ServerHeartbeat> damaged = DecodeHeartbeat("s1", Damaged(whole));
+    RC_ASSERT(!damaged || damaged->m_slots >= 1);
+  }));
+}
+
+Test(PlatformWire, HeartbeatsOfAnUnknownStateAreRejected)
+{
+  std::string body = EncodeHeartbeat({}, "a");
+  size_t place = body.find("ready");
+  body.replace(place, 5, "sleepy");
+  cr_assert_not(DecodeHeartbeat("s1", body).has_value());
+}
+
+Test(PlatformWire, DamagedConfigurationsGiveRoutesOrAnError)
+{
+  RouteTable table;
+  table.m_version = 7;
+  for (uint16_t port : { 443, 8080, 8443 }) {
+    Endpoint address{ 0xC6120001, port };
+    table.m_routes[address] = { "r" + std::to_string(port),
+                                address,
+                                { { "desk", 90 }, { "images", 10 } },
+                                1,
+                                Milliseconds(150) };
+  }
+  std::string whole = EncodeOperatorConfig(table).dump();
+  Result<OperatorConfig> decoded =
+    DecodeOperatorConfig(nlohmann::json::parse(whole));
+  cr_assert(decoded.has_value());
+  cr_assert(decoded->m_mistakes.empty());
+  cr_assert(decoded->m_table.m_routes == table.m_routes);
+  cr_assert(rc::check("damaged configuration", [&] {
+    nlohmann::json damaged =
+      nlohmann::json::parse(Damaged(whole), nullptr, false);
+    if (!damaged.is_discarded()) {
+      DecodeOperatorConfig(damaged);
+    }
+  }));
+}
+
+// One route that cannot be read must not take the others with it.
+Test(PlatformWire, ARouteThatCannotBeReadIsReportedAndLeftOut)
+{
+  RouteTable table;
+  table.m_version = 7;
+  Endpoint address{ 0xC6120001, 443 };
+  table.m_routes[address] = { "good", address, { { "desk", 1 } }, 1, {} };
+  nlohmann::json config = EncodeOperatorConfig(table);
+  config["routes"].push_back({ { "name", "bad" }, { "host", "nowhere" } });
+  Result<OperatorConfig> decoded = DecodeOperatorConfig(config);
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->m_mistakes.size(), 1);
+  cr_assert(decoded->m_table.Find(address) != nullptr);
+}
+
+Test(PlatformWire, DamagedMessagesBetweenNodesAreMessagesOrErrors)
+{
+  std::vector<std::string> wholes = {
+    EncodeFlowMessage(Subscribe{ "a", { 7, { 1, 2 } }, { 9, { 1, 2 } }, true }),
+    EncodeFlowMessage(ServerLoad{}),
+    EncodeFlowMessage(FlowQuery{ { { 1, 2 }, { 3, 4 } }, 5 }),
+    EncodeFlowMessage(FlowAnswer{ { { 1, 2 }, { 3, 4 } }, FlowOwnership::Yes })
+  };
+  for (const std::string& whole : wholes) {
+    Result<FlowMessage> decoded = DecodeFlowMessage(whole, "peer");
+    cr_assert(decoded.has_value());
+    cr_assert(EncodeFlowMessage(*decoded) == whole);
+    cr_assert(rc::check("damaged message", [&] {
+      Result<FlowMessage> damaged = DecodeFlowMessage(Damaged(whole), "peer");
+      RC_ASSERT(damaged || !damaged.error().m_detail.empty());
+    }));
+  }
+}
+
+Test(PlatformWire, DamagedSnapshotsAreSnapshotsOrErrors)
+{
+  PeerSnapshot snapshot;
+  snapshot.m_configuration = { { "version", 7 } };
+  snapshot.m_routesVersion = 7;
+  snapshot.m_agentsRevision = 9;
+  snapshot.m_agents = { { "desk", "a", { 0x0A000001, 8000 } } };
+  std::string whole = EncodeSnapshot(snapshot).dump();
+  Result<PeerSnapshot> decoded = DecodeSnapshot(whole, "peer");
+  cr_assert(decoded.has_value());
+  cr_assert(decoded->m_agents == snapshot.m_agents);
+  cr_assert(rc::check("damaged snapshot", [&] {
+    Result<PeerSnapshot> damaged = DecodeSnapshot(Damaged(whole), "peer");
+    RC_ASSERT(damaged || !damaged.error().m_detail.empty());
+  }));
+}
