Record at the agents which flows a server got

Test: PacketPath.TheJournalTellsWhichFlowsAServerGot.

Found on the way: PacketPath.LosesNoFlowWhenAnAgentIsKilledAndStartedAgain failed once (1 of 229 flows silent). Cause: the stand-in of a server sent its answer once; sent while the agent was down, it was lost, where the published protocol repeats unacknowledged data. The linter's findings in the new code are mended.

--- a/packages/agent/JournalWriter.cpp
+++ b/packages/agent/JournalWriter.cpp
@@ -3,8 +3,6 @@
 #include "Codec.h"
 #include "Log.h"
 
-#include <iomanip>
-
 namespace bilberryfield {
 
 namespace {
@@ -13,15 +11,6 @@
 
 } // namespace
 
-std::string
-JournalKey(const std::string& aOrigin, uint64_t aFirstSequence)
-{
-  std::ostringstream key;
-  key << "journal/" << aOrigin << "/" << std::setfill('0') << std::setw(12)
-      << aFirstSequence;
-  return key.str();
-}
-
 JournalWriter::JournalWriter(std::string aPlatform, OnStored aOnStored)
   : m_platform(std::move(aPlatform))
   , m_onStored(std::move(aOnStored))
--- a/packages/agent/JournalWriter.h
+++ b/packages/agent/JournalWriter.h
@@ -47,8 +47,4 @@
   std::thread m_thread;
 };
 
-/** Key of the object that holds a batch; sorts by the first sequence. */
-std::string
-JournalKey(const std::string& aOrigin, uint64_t aFirstSequence);
-
 } // namespace bilberryfield
--- a/packages/decision/Journal.cpp
+++ b/packages/decision/Journal.cpp
@@ -1,7 +1,9 @@
 #include "Journal.h"
 
+#include <iomanip>
 #include <nlohmann/json.hpp>
 #include <sodium.h>
+#include <sstream>
 
 namespace bilberryfield {
 
@@ -71,6 +73,15 @@
   }
 }
 
+std::string
+JournalKey(const std::string& aOrigin, uint64_t aFirstSequence)
+{
+  std::ostringstream key;
+  key << "journal/" << aOrigin << "/" << std::setfill('0') << std::setw(12)
+      << aFirstSequence;
+  return key.str();
+}
+
 std::optional<JournalFault>
 VerifyJournal(const std::string& aOrigin,
               const std::vector<JournalRecord>& aRecords)
--- a/packages/decision/Journal.h
+++ b/packages/decision/Journal.h
@@ -128,6 +128,10 @@
   uint64_t m_lost = 0;
 };
 
+/** Key of the object that holds a batch; sorts by the first sequence. */
+std::string
+JournalKey(const std::string& aOrigin, uint64_t aFirstSequence);
+
 /** Checks order and chain of a whole journal; nothing when it holds. */
 std::optional<JournalFault>
 VerifyJournal(const std::string& aOrigin,
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -105,12 +105,14 @@
   if (IsOtherServers(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
     return GiveBack(HandBack::NotOwner, aBalancerIp);
   }
+  AgentVerdict verdict{ FlowAgentAction::Deliver };
   if (aHeader.Has(kReset) || aHeader.Has(kFin)) {
+    verdict.m_isLast = flow->m_phase != Phase::Closed;
     SetPhase(aNow, key, *flow, Phase::Closed);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
     SetPhase(aNow, key, *flow, Phase::Requested);
   }
-  return { FlowAgentAction::Deliver };
+  return verdict;
 }
 
 AgentVerdict
@@ -167,7 +169,9 @@
     flow->m_hasServerSeq = true;
     flow->m_serverSeq = aHeader.m_seq;
   }
+  AgentVerdict verdict{ FlowAgentAction::ToCaller };
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
+    verdict.m_isLast = flow->m_phase != Phase::Closed;
     SetPhase(aNow, key, *flow, Phase::Closed);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
     if (flow->m_phase != Phase::Idle) {
@@ -175,7 +179,7 @@
     }
     SetPhase(aNow, key, *flow, Phase::Idle);
   }
-  return { FlowAgentAction::ToCaller };
+  return verdict;
 }
 
 void
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -28,6 +28,8 @@
   HandBack m_reason = HandBack::None;
   /** Balancer of a packet that is handed back. */
   uint32_t m_balancerIp = 0;
+  /** The packet closed its flow. */
+  bool m_isLast = false;
 };
 
 /** Settings of the agent's decisions. */
--- a/packages/flow/LatencyHistogram.cpp
+++ b/packages/flow/LatencyHistogram.cpp
@@ -1,6 +1,7 @@
 #include "LatencyHistogram.h"
 
 #include <boost/histogram.hpp>
+#include <cmath>
 
 namespace bilberryfield {
 
@@ -46,8 +47,7 @@
   for (int i = -1; i < kBuckets; ++i) {
     total += static_cast<uint64_t>(m_impl->m_histogram.at(i));
     double upTo = m_impl->m_histogram.axis().value(i + 1);
-    buckets.push_back(
-      { Duration(static_cast<Duration::rep>(upTo + 0.5)), total });
+    buckets.push_back({ Duration(std::llround(upTo)), total });
   }
   total += static_cast<uint64_t>(m_impl->m_histogram.at(kBuckets));
   buckets.push_back({ Duration::max(), total });
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -30,6 +30,14 @@
   return options;
 }
 
+// Tells one start of an agent from the others in the journals' names.
+std::string
+StartNumber()
+{
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::to_string(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
 } // namespace
 
 AgentDaemon::AgentDaemon(const FlowSettings& aSettings)
@@ -40,12 +48,17 @@
       m_loop,
       m_store,
       { aSettings.m_service, aSettings.m_domain, aSettings.m_packetListen })
+  , m_journal(m_loop,
+              m_store,
+              aSettings.m_id + "/" + StartNumber(),
+              aSettings.m_service)
   , m_heartbeats({ 1 },
                  [this](HttpIncoming aRequest, HttpReply aReply) {
-                   m_loop.Post(
-                     [this, request = std::move(aRequest), reply = aReply] {
-                       reply(OnServerCall(request));
-                     });
+                   m_loop.Post([this,
+                                request = std::move(aRequest),
+                                reply = std::move(aReply)] {
+                     reply(OnServerCall(request));
+                   });
                  })
   , m_metrics({ 1 }, [this](const HttpIncoming&, const HttpReply& aReply) {
     m_loop.Post([this, aReply] { aReply(Metrics()); });
@@ -100,6 +113,7 @@
   }
   m_loop.Every(FlowAgent::kTick, [this] { OnTick(); });
   m_loop.Every(Seconds(1), LogWhatWasLeftOut);
+  m_loop.Every(m_settings.m_journalEvery, [this] { m_journal.Store([] {}); });
   return {};
 }
 
@@ -160,6 +174,7 @@
   AgentVerdict verdict =
     m_core.OnBalancerPacket(FlowLoop::Now(), *header, aBytes, aFrom.m_ip);
   LogOpening(verdict, *header, aFrom.m_ip);
+  NoteForJournal(verdict, *header);
   Execute(verdict, *header, aBytes, aFrom.m_ip);
 }
 
@@ -197,6 +212,8 @@
   text.Add("bilberry_send_failures_total",
            m_packets->SendFailures() + m_server->SendFailures() +
              m_control->SendFailures());
+  text.Add("bilberry_journal_pending", m_journal.PendingCount());
+  text.Add("bilberry_journal_lost_total", m_journal.LostCount());
   text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
   return { kOk, {}, "text/plain", text.Text() };
 }
@@ -208,10 +225,34 @@
   if (!header) {
     return;
   }
-  Execute(m_core.OnServerPacket(FlowLoop::Now(), *header),
-          *header,
-          aBytes,
-          header->m_tag);
+  AgentVerdict verdict = m_core.OnServerPacket(FlowLoop::Now(), *header);
+  if (verdict.m_isLast) {
+    m_journal.OnEnded(FlowLoop::Now(), header->FlowFromServer());
+  }
+  if (verdict.m_action == FlowAgentAction::HandBack && header->IsOpening()) {
+    m_journal.OnRefused(
+      FlowLoop::Now(), header->FlowFromCaller(), verdict.m_reason);
+  }
+  Execute(verdict, *header, aBytes, header->m_tag);
+}
+
+void
+AgentDaemon::NoteForJournal(const AgentVerdict& aVerdict,
+                            const PacketHeader& aHeader)
+{
+  TimePoint now = FlowLoop::Now();
+  FlowKey flow = aHeader.FlowFromCaller();
+  if (aVerdict.m_isLast) {
+    m_journal.OnEnded(now, flow);
+  }
+  if (!aHeader.IsOpening()) {
+    return;
+  }
+  if (aVerdict.m_action == FlowAgentAction::Deliver) {
+    m_journal.OnOpened(now, flow);
+  } else if (aVerdict.m_action == FlowAgentAction::HandBack) {
+    m_journal.OnRefused(now, flow, aVerdict.m_reason);
+  }
 }
 
 void
@@ -308,6 +349,7 @@
     HandBackTo(opening.m_balancerIp,
                HandBack::Silent,
                { opening.m_bytes.data(), opening.m_bytes.size() });
+    m_journal.OnRefused(now, opening.m_flow, HandBack::Silent);
   }
   DueReports due = m_core.OnTick(now);
   if (!due.m_balancerIps.empty()) {
@@ -343,10 +385,12 @@
 AgentDaemon::ContinueShutdown()
 {
   Duration since = FlowLoop::Now() - *m_stoppingSince;
-  if (since >= m_settings.m_shutdownLimit ||
-      (since >= kBalancersNotice && m_core.BusyFlows() == 0)) {
+  if (since >= m_settings.m_shutdownLimit) {
     return m_loop.Stop();
   }
+  if (since >= kBalancersNotice && m_core.BusyFlows() == 0) {
+    return m_journal.Store([this] { m_loop.Stop(); });
+  }
   m_loop.After(kShutdownStep, [this] { ContinueShutdown(); });
 }
 
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -2,6 +2,7 @@
 
 #include "AgentRegistrar.h"
 #include "FlowAgent.h"
+#include "FlowJournal.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
 #include "HttpServer.h"
@@ -44,6 +45,8 @@
                   const PacketHeader& aHeader,
                   uint32_t aBalancerIp);
   void OnTick();
+  void NoteForJournal(const AgentVerdict& aVerdict,
+                      const PacketHeader& aHeader);
   void ContinueShutdown();
 
   FlowSettings m_settings;
@@ -51,6 +54,7 @@
   StoreClient m_store;
   FlowAgent m_core;
   AgentRegistrar m_registrar;
+  FlowJournal m_journal;
   HttpServer m_heartbeats;
   HttpServer m_metrics;
   uint64_t m_malformed = 0;
--- /dev/null
+++ b/packages/flownode/FlowJournal.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "FlowLoop.h"
+#include "FlowMessages.h"
+#include "Journal.h"
+#include "StoreClient.h"
+
+#include <absl/container/flat_hash_map.h>
+
+namespace bilberryfield {
+
+/**
+ * The chained record of which flows reached a server, in what order, and which
+ * were refused. It is stored in batches; a batch that is not stored is tried
+ * again with the next one.
+ */
+class FlowJournal
+{
+public:
+  /** aOrigin names the agent and its start; aService is the server's. */
+  FlowJournal(FlowLoop& aLoop,
+              StoreClient& aStore,
+              std::string aOrigin,
+              std::string aService);
+
+  void OnOpened(TimePoint aNow, const FlowKey& aFlow);
+  void OnEnded(TimePoint aNow, const FlowKey& aFlow);
+  void OnRefused(TimePoint aNow, const FlowKey& aFlow, HandBack aReason);
+
+  /** Stores what is pending; aOnEnd is called on the loop's thread. */
+  void Store(const std::function<void()>& aOnEnd);
+
+  size_t PendingCount() const { return m_journal.PendingCount(); }
+  uint64_t LostCount() const { return m_journal.LostCount(); }
+
+private:
+  JournalRecord MakeRecord(TimePoint aNow, const FlowKey& aFlow) const;
+
+  FlowLoop& m_loop;
+  StoreClient& m_store;
+  std::string m_service;
+  Journal m_journal;
+  uint64_t m_nextItem = 1;
+  /** Numbers of the flows that are open. */
+  absl::flat_hash_map<FlowKey, uint64_t> m_items;
+  bool m_isStoring = false;
+};
+
+} // namespace bilberryfield
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -59,6 +59,8 @@
   aSettings.m_service = aFields.RequiredString("service");
   aSettings.m_heartbeatEvery =
     ReadTime(aFields, "heartbeat_ms", aSettings.m_heartbeatEvery);
+  aSettings.m_journalEvery =
+    ReadTime(aFields, "journal_every_ms", aSettings.m_journalEvery);
   aSettings.m_maxFlowAge =
     ReadTime(aFields, "max_flow_ms", aSettings.m_maxFlowAge);
 }
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -55,6 +55,8 @@
   std::string m_service;
   /** Agent: time between two heartbeats of the server. */
   Milliseconds m_heartbeatEvery{ 1'000 };
+  /** Agent: time between two writes of its journal to the store. */
+  Milliseconds m_journalEvery{ 60'000 };
   /** Agent: longest life of a flow. */
   Milliseconds m_maxFlowAge{ 60'000 };
 };
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -36,6 +36,7 @@
   void StartAgent(size_t aIndex);
   void StartServer(size_t aIndex);
 
+  const std::string& StoreAddress() const { return m_storeAddress; }
   std::vector<FabricTarget> Targets() const;
   /** Where callers of this cluster take packets. */
   Endpoint CallerListen() const;
--- a/standins/FlowServerStandIn.cpp
+++ b/standins/FlowServerStandIn.cpp
@@ -36,6 +36,7 @@
 {
   uint32_t m_seq = 0;
   bool m_hasRequest = false;
+  bool m_isAnswered = false;
 };
 
 class FlowServer
@@ -125,13 +126,25 @@
       std::copy(bytes.begin(), bytes.end(), aBytes.begin());
       return m_socket->Send(aBytes, m_outbound);
     }
-    if (header->m_length > 0 && !found->second.m_hasRequest) {
+    if (header->m_length == 0) {
+      return;
+    }
+    if (found->second.m_isAnswered) {
+      // The caller asks again, so the answer was lost on the way.
+      return SendAnswer(key, found->second);
+    }
+    if (!found->second.m_hasRequest) {
       found->second.m_hasRequest = true;
       m_waiting.push_back(key);
       RunWaiting();
     }
   }
 
+  void SendAnswer(const FlowKey& aKey, const Held& aHeld)
+  {
+    Send(aKey, kAck | kFin, aHeld.m_seq + 1, kAnswerBytes);
+  }
+
   void RunWaiting()
   {
     while (m_running < absl::GetFlag(FLAGS_slots) && !m_waiting.empty()) {
@@ -140,7 +153,8 @@
       m_running += 1;
       m_loop.After(Milliseconds(absl::GetFlag(FLAGS_work_ms)), [this, key] {
         m_running -= 1;
-        Send(key, kAck | kFin, m_held[key].m_seq + 1, kAnswerBytes);
+        m_held[key].m_isAnswered = true;
+        SendAnswer(key, m_held[key]);
         RunWaiting();
       });
     }
--- a/test/process/PacketPath.cpp
+++ b/test/process/PacketPath.cpp
@@ -1,4 +1,7 @@
+#include "Audit.h"
+#include "Codec.h"
 #include "FlowCluster.h"
+#include "KeyedStore.h"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -119,3 +122,31 @@
   cr_assert(path.m_cluster.Agent(0).WaitForLine("\"event\":\"reloaded\""));
   CheckAllAnswered(path.m_callers->Stop());
 }
+
+Test(PacketPath, TheJournalTellsWhichFlowsAServerGot)
+{
+  LoadedPath path;
+  path.m_cluster.Server(0).Signal(SIGTERM);
+  cr_assert_eq(path.m_cluster.Server(0).Wait(), 0);
+  path.m_cluster.Agent(0).Signal(SIGTERM);
+  cr_assert_eq(path.m_cluster.Agent(0).Wait(), 0);
+  path.m_callers->Stop();
+
+  KeyedStore store(path.m_cluster.StoreAddress());
+  auto keys = store.List("journal/agent-0/");
+  cr_assert(keys && !keys->empty());
+  std::string origin;
+  std::vector<JournalRecord> records;
+  for (const std::string& key : *keys) {
+    auto batch = DecodeJournal(store.Get(key).value()->m_value, key);
+    cr_assert(batch.has_value());
+    origin = batch->m_origin;
+    records.insert(
+      records.end(), batch->m_records.begin(), batch->m_records.end());
+  }
+  cr_assert(!VerifyJournal(origin, records));
+  AuditReport report = AuditOrder(records);
+  cr_assert_gt(report.m_started, 5);
+  cr_assert_eq(report.m_open, 0);
+  cr_assert(report.m_faults.empty());
+}
