--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -25,12 +25,6 @@
 /** Weight of a new sample in the mean answer time. */
 constexpr double kAnswerTimeGain = 0.05;
 
-bool
-IsBusyPhase(int aPhase)
-{
-  return aPhase <= 1;
-}
-
 } // namespace
 
 FlowAgent::FlowAgent(FlowAgentOptions aOptions, TimePoint aStart)
@@ -77,6 +71,12 @@
   return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
 }
 
+bool
+FlowAgent::IsBusy(Phase aPhase)
+{
+  return aPhase == Phase::Opening || aPhase == Phase::Requested;
+}
+
 bool
 FlowAgent::IsOtherServers(const Flow& aFlow, uint32_t aAck)
 {
@@ -222,8 +222,8 @@
                     Flow& aFlow,
                     Phase aPhase)
 {
-  bool wasBusy = IsBusyPhase(static_cast<int>(aFlow.m_phase));
-  bool isBusy = IsBusyPhase(static_cast<int>(aPhase));
+  bool wasBusy = IsBusy(aFlow.m_phase);
+  bool isBusy = IsBusy(aPhase);
   aFlow.m_phase = aPhase;
   if (isBusy && !wasBusy) {
     aFlow.m_busySince = aNow;
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -185,6 +185,7 @@
   AgentVerdict OnBounced(const PacketHeader& aHeader);
   AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp);
   bool MayMissFlows(TimePoint aNow) const;
+  static bool IsBusy(Phase aPhase);
   static bool IsOtherServers(const Flow& aFlow, uint32_t aAck);
   void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
   void EndStuckFlows(TimePoint aNow);
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -1,6 +1,5 @@
 #include "AgentDaemon.h"
 
-#include "FlowCodec.h"
 #include "HeartbeatCodec.h"
 #include "HttpPaths.h"
 #include "Log.h"
@@ -42,6 +41,11 @@
 
 AgentDaemon::AgentDaemon(const FlowSettings& aSettings)
   : m_settings(aSettings)
+  , m_control(m_loop,
+              aSettings.m_controlPort,
+              [this](const FlowMessage& aMessage, uint32_t aFromIp) {
+                OnControl(aMessage, aFromIp);
+              })
   , m_store(aSettings.m_platform)
   , m_core(OptionsFrom(aSettings), FlowLoop::Now())
   , m_registrar(
@@ -69,29 +73,17 @@
 Result<void>
 AgentDaemon::OpenSockets()
 {
-  auto packets = m_loop.Open(m_settings.m_packetListen,
-                             [this](auto aBytes, const Endpoint& aFrom) {
-                               OnBalancerDatagram(aBytes, aFrom);
-                             });
-  if (!packets) {
-    return tl::unexpected(packets.error());
-  }
-  auto server = m_loop.Open(
-    m_settings.m_serverListen,
-    [this](auto aBytes, const Endpoint&) { OnServerDatagram(aBytes); });
-  if (!server) {
-    return tl::unexpected(server.error());
-  }
-  auto control = m_loop.Open(
-    { m_settings.m_packetListen.m_ip, m_settings.m_controlPort },
-    [this](auto aBytes, const Endpoint& aFrom) { OnControl(aBytes, aFrom); });
-  if (!control) {
-    return tl::unexpected(control.error());
-  }
-  m_packets = *packets;
-  m_server = *server;
-  m_control = *control;
-  return {};
+  auto onBalancer = [this](auto aBytes, const Endpoint& aFrom) {
+    OnBalancerDatagram(aBytes, aFrom);
+  };
+  auto onServer = [this](auto aBytes, const Endpoint&) {
+    OnServerDatagram(aBytes);
+  };
+  return m_loop.Open(m_settings.m_packetListen, onBalancer, m_packets)
+    .and_then([&] {
+      return m_loop.Open(m_settings.m_serverListen, onServer, m_server);
+    })
+    .and_then([&] { return m_control.Open(m_settings.m_packetListen.m_ip); });
 }
 
 Result<void>
@@ -211,7 +203,7 @@
   text.Add("bilberry_malformed_packets_total", m_malformed);
   text.Add("bilberry_send_failures_total",
            m_packets->SendFailures() + m_server->SendFailures() +
-             m_control->SendFailures());
+             m_control.SendFailures());
   text.Add("bilberry_journal_pending", m_journal.PendingCount());
   text.Add("bilberry_journal_lost_total", m_journal.LostCount());
   text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
@@ -298,40 +290,16 @@
 }
 
 void
-AgentDaemon::OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom)
+AgentDaemon::OnControl(const FlowMessage& aMessage, uint32_t aFromIp)
 {
-  std::string_view text(reinterpret_cast<const char*>(aBytes.data()),
-                        aBytes.size());
-  Result<FlowMessage> message = DecodeFlowMessage(text, ToText(aFrom));
-  if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", message.error().m_peer },
-          { "detail", message.error().m_detail } });
-    return;
-  }
   TimePoint now = FlowLoop::Now();
-  if (auto* subscribe = std::get_if<Subscribe>(&*message)) {
-    m_core.OnSubscribe(now, aFrom.m_ip, *subscribe);
-  } else if (auto* query = std::get_if<FlowQuery>(&*message)) {
-    SendControl(aFrom.m_ip, m_core.OnQuery(now, *query));
+  if (const auto* subscribe = std::get_if<Subscribe>(&aMessage)) {
+    m_core.OnSubscribe(now, aFromIp, *subscribe);
+  } else if (const auto* query = std::get_if<FlowQuery>(&aMessage)) {
+    m_control.Send(aFromIp, m_core.OnQuery(now, *query));
   }
 }
 
-void
-AgentDaemon::SendControl(uint32_t aIp, const FlowMessage& aMessage)
-{
-  SendText(aIp, EncodeFlowMessage(aMessage));
-}
-
-void
-AgentDaemon::SendText(uint32_t aIp, const std::string& aText)
-{
-  m_control->Send(
-    { reinterpret_cast<const uint8_t*>(aText.data()), aText.size() },
-    { aIp, m_settings.m_controlPort });
-}
-
 void
 AgentDaemon::OnTick()
 {
@@ -352,12 +320,7 @@
     m_journal.OnRefused(now, opening.m_flow, HandBack::Silent);
   }
   DueReports due = m_core.OnTick(now);
-  if (!due.m_balancerIps.empty()) {
-    std::string text = EncodeFlowMessage(due.m_report);
-    for (uint32_t ip : due.m_balancerIps) {
-      SendText(ip, text);
-    }
-  }
+  m_control.SendToAll(due.m_balancerIps, due.m_report);
   bool isServerHere =
     condition != ServerCondition::Unknown && condition != ServerCondition::Gone;
   m_registrar.SetWanted(isServerHere);
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AgentRegistrar.h"
+#include "ControlChannel.h"
 #include "FlowAgent.h"
 #include "FlowJournal.h"
 #include "FlowLoop.h"
@@ -28,7 +29,7 @@
   Result<void> OpenSockets();
   void OnBalancerDatagram(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnServerDatagram(std::span<uint8_t> aBytes);
-  void OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void OnControl(const FlowMessage& aMessage, uint32_t aFromIp);
   void Execute(const AgentVerdict& aVerdict,
                const PacketHeader& aHeader,
                std::span<uint8_t> aBytes,
@@ -36,8 +37,6 @@
   void HandBackTo(uint32_t aBalancerIp,
                   HandBack aReason,
                   std::span<uint8_t> aBytes);
-  void SendControl(uint32_t aIp, const FlowMessage& aMessage);
-  void SendText(uint32_t aIp, const std::string& aText);
   HttpOutgoing OnServerCall(const HttpIncoming& aRequest);
   void OnHeartbeat(const ServerHeartbeat& aHeartbeat);
   HttpOutgoing Metrics() const;
@@ -51,6 +50,7 @@
 
   FlowSettings m_settings;
   FlowLoop m_loop;
+  ControlChannel m_control;
   StoreClient m_store;
   FlowAgent m_core;
   AgentRegistrar m_registrar;
@@ -60,7 +60,6 @@
   uint64_t m_malformed = 0;
   FlowLoop::Socket* m_packets = nullptr;
   FlowLoop::Socket* m_server = nullptr;
-  FlowLoop::Socket* m_control = nullptr;
   ServerCondition m_loggedCondition = ServerCondition::Unknown;
   std::optional<TimePoint> m_stoppingSince;
 };
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -1,7 +1,6 @@
 #include "BalancerDaemon.h"
 
 #include "AgentEntryCodec.h"
-#include "FlowCodec.h"
 #include "HttpPaths.h"
 #include "Log.h"
 #include "MetricsText.h"
@@ -28,6 +27,11 @@
 
 BalancerDaemon::BalancerDaemon(const FlowSettings& aSettings)
   : m_settings(aSettings)
+  , m_control(m_loop,
+              aSettings.m_controlPort,
+              [this](const FlowMessage& aMessage, uint32_t aFromIp) {
+                OnControl(aMessage, aFromIp);
+              })
   , m_store(aSettings.m_platform)
   , m_core(aSettings.m_domain, std::random_device{}())
   , m_routesFollower(
@@ -65,29 +69,18 @@
 BalancerDaemon::OpenSockets()
 {
   uint32_t ip = m_settings.m_packetListen.m_ip;
-  auto callers =
-    m_loop.Open(m_settings.m_packetListen,
-                [this](auto aBytes, const auto&) { OnCallerDatagram(aBytes); });
-  if (!callers) {
-    return tl::unexpected(callers.error());
-  }
-  auto handBack = m_loop.Open({ ip, m_settings.m_handBackPort },
-                              [this](auto aBytes, const Endpoint& aFrom) {
-                                OnHandedBack(aBytes, aFrom);
-                              });
-  if (!handBack) {
-    return tl::unexpected(handBack.error());
-  }
-  auto control = m_loop.Open(
-    { ip, m_settings.m_controlPort },
-    [this](auto aBytes, const Endpoint& aFrom) { OnControl(aBytes, aFrom); });
-  if (!control) {
-    return tl::unexpected(control.error());
-  }
-  m_callers = *callers;
-  m_handBack = *handBack;
-  m_control = *control;
-  return {};
+  auto onCaller = [this](auto aBytes, const Endpoint&) {
+    OnCallerDatagram(aBytes);
+  };
+  auto onHandedBack = [this](auto aBytes, const Endpoint& aFrom) {
+    OnHandedBack(aBytes, aFrom);
+  };
+  return m_loop.Open(m_settings.m_packetListen, onCaller, m_callers)
+    .and_then([&] {
+      return m_loop.Open(
+        { ip, m_settings.m_handBackPort }, onHandedBack, m_handBack);
+    })
+    .and_then([&] { return m_control.Open(ip); });
 }
 
 Result<void>
@@ -311,24 +304,14 @@
 }
 
 void
-BalancerDaemon::OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom)
+BalancerDaemon::OnControl(const FlowMessage& aMessage, uint32_t aFromIp)
 {
-  std::string_view text(reinterpret_cast<const char*>(aBytes.data()),
-                        aBytes.size());
-  Result<FlowMessage> message = DecodeFlowMessage(text, ToText(aFrom));
-  if (!message) {
-    Log(LogLevel::Warning,
-        "message-rejected",
-        { { "peer", message.error().m_peer },
-          { "detail", message.error().m_detail } });
-    return;
-  }
   TimePoint now = FlowLoop::Now();
-  if (auto* report = std::get_if<ServerLoad>(&*message)) {
-    m_core.Agents().OnReport(now, aFrom.m_ip, *report);
-    m_peerNews.OnReport(now, report->m_routes, report->m_agents);
-  } else if (auto* answer = std::get_if<FlowAnswer>(&*message)) {
-    Execute(m_core.OnAnswer(now, aFrom.m_ip, *answer), {});
+  if (const auto* load = std::get_if<ServerLoad>(&aMessage)) {
+    m_core.Agents().OnReport(now, aFromIp, *load);
+    m_peerNews.OnReport(now, load->m_routes, load->m_agents);
+  } else if (const auto* answer = std::get_if<FlowAnswer>(&aMessage)) {
+    Execute(m_core.OnAnswer(now, aFromIp, *answer), {});
   }
 }
 
@@ -348,7 +331,7 @@
           { step.m_flow.m_caller.m_ip, m_settings.m_packetListen.m_port });
         break;
       case FlowBalancerAction::Query:
-        SendControl(step.m_agentIp, FlowQuery{ step.m_flow, step.m_number });
+        m_control.Send(step.m_agentIp, FlowQuery{ step.m_flow, step.m_number });
         break;
       case FlowBalancerAction::Drop:
         break;
@@ -366,15 +349,6 @@
   m_handBack->Send(bytes, aStep.m_packets);
 }
 
-void
-BalancerDaemon::SendControl(uint32_t aIp, const FlowMessage& aMessage)
-{
-  std::string text = EncodeFlowMessage(aMessage);
-  m_control->Send(
-    { reinterpret_cast<const uint8_t*>(text.data()), text.size() },
-    { aIp, m_settings.m_controlPort });
-}
-
 void
 BalancerDaemon::LogStep(const BalancerStep& aStep)
 {
@@ -423,7 +397,7 @@
   text.Add("bilberry_malformed_packets_total", m_malformed);
   text.Add("bilberry_send_failures_total",
            m_callers->SendFailures() + m_handBack->SendFailures() +
-             m_control->SendFailures());
+             m_control.SendFailures());
   text.Add("bilberry_search_seconds", m_core.SearchTimes());
   return { kOk, {}, "text/plain", text.Text() };
 }
@@ -453,7 +427,7 @@
   message.m_agents = { m_core.Agents().Revision(), m_settings.m_adminListen };
   for (const auto& [ip, agent] : m_core.Agents().All()) {
     message.m_isListed = agent.m_isListed;
-    SendControl(ip, message);
+    m_control.Send(ip, message);
   }
 }
 
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AdminServer.h"
+#include "ControlChannel.h"
 #include "FlowBalancer.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
@@ -29,7 +30,7 @@
   Result<void> StartServers();
   void OnCallerDatagram(std::span<uint8_t> aBytes);
   void OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom);
-  void OnControl(std::span<uint8_t> aBytes, const Endpoint& aFrom);
+  void OnControl(const FlowMessage& aMessage, uint32_t aFromIp);
   void OnConfigObjects(const StoreFollower::Objects& aObjects);
   void OnConfiguration(const nlohmann::json& aContent, const char* aSource);
   void OnSnapshot(const PeerSnapshot& aSnapshot);
@@ -41,7 +42,6 @@
   void Execute(const std::vector<BalancerStep>& aSteps,
                std::span<uint8_t> aBytes);
   void SendForward(const BalancerStep& aStep, std::span<uint8_t> aBytes);
-  void SendControl(uint32_t aIp, const FlowMessage& aMessage);
   void LogStep(const BalancerStep& aStep);
   HttpOutgoing Metrics() const;
   void OnTick();
@@ -50,6 +50,7 @@
 
   FlowSettings m_settings;
   FlowLoop m_loop;
+  ControlChannel m_control;
   StoreClient m_store;
   FlowBalancer m_core;
   StoreFollower m_routesFollower;
@@ -64,7 +65,6 @@
   AdminServer m_admin;
   FlowLoop::Socket* m_callers = nullptr;
   FlowLoop::Socket* m_handBack = nullptr;
-  FlowLoop::Socket* m_control = nullptr;
   std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
   uint64_t m_malformed = 0;
   std::atomic<bool> m_isReady{ false };
--- a/packages/flownode/FlowLoop.cpp
+++ b/packages/flownode/FlowLoop.cpp
@@ -43,16 +43,19 @@
   return TimePoint(std::chrono::duration_cast<Duration>(now));
 }
 
-Result<FlowLoop::Socket*>
-FlowLoop::Open(const Endpoint& aAddress, OnDatagram aOnDatagram)
+Result<void>
+FlowLoop::Open(const Endpoint& aAddress,
+               OnDatagram aOnDatagram,
+               Socket*& aSocket)
 {
   Socket& socket = m_sockets.emplace_back(m_io, std::move(aOnDatagram));
   Result<void> bound = socket.Bind(aAddress);
   if (!bound) {
     m_sockets.pop_back();
-    return tl::unexpected(bound.error());
+    return bound;
   }
-  return &socket;
+  aSocket = &socket;
+  return {};
 }
 
 void
--- a/packages/flownode/FlowLoop.h
+++ b/packages/flownode/FlowLoop.h
@@ -26,8 +26,10 @@
   FlowLoop(const FlowLoop&) = delete;
   FlowLoop& operator=(const FlowLoop&) = delete;
 
-  /** Receives datagrams at an address until the loop ends. */
-  Result<Socket*> Open(const Endpoint& aAddress, OnDatagram aOnDatagram);
+  /** Receives datagrams at an address until the loop ends; sets aSocket. */
+  Result<void> Open(const Endpoint& aAddress,
+                    OnDatagram aOnDatagram,
+                    Socket*& aSocket);
 
   /** Runs a function on the loop's thread; any thread may call it. */
   void Post(std::function<void()> aFunction);
--- a/standins/FlowCallers.cpp
+++ b/standins/FlowCallers.cpp
@@ -29,12 +29,13 @@
   , m_client(HttpClientOptions{})
   , m_misses(m_targets.size(), kMisses)
 {
-  auto socket = m_loop.Open(
-    m_listen, [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); });
-  if (!socket) {
-    throw std::runtime_error(socket.error().m_detail);
+  Result<void> opened = m_loop.Open(
+    m_listen,
+    [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); },
+    m_socket);
+  if (!opened) {
+    throw std::runtime_error(opened.error().m_detail);
   }
-  m_socket = *socket;
   m_loop.Every(kProbeEvery, [this] {
     for (size_t i = 0; i < m_targets.size(); ++i) {
       Probe(i);
--- a/standins/FlowServerStandIn.cpp
+++ b/standins/FlowServerStandIn.cpp
@@ -57,13 +57,13 @@
 
   Result<void> Start()
   {
-    auto socket =
-      m_loop.Open(m_heartbeat.m_address,
-                  [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); });
-    if (!socket) {
-      return tl::unexpected(socket.error());
+    Result<void> opened = m_loop.Open(
+      m_heartbeat.m_address,
+      [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); },
+      m_socket);
+    if (!opened) {
+      return opened;
     }
-    m_socket = *socket;
     SendHeartbeat();
     m_loop.Every(Milliseconds(absl::GetFlag(FLAGS_heartbeat_ms)),
                  [this] { SendHeartbeat(); });
--- a/test/process/AuditTrail.cpp
+++ b/test/process/AuditTrail.cpp
@@ -1,7 +1,5 @@
-#include "Audit.h"
-#include "Codec.h"
-#include "KeyedStore.h"
 #include "ProcessFixture.h"
+#include "StoredJournal.h"
 
 #include <csignal>
 
@@ -19,20 +17,8 @@
   cr_assert(cluster.WaitForAgent("catalogue-1") == 0);
   callers.Stop();
 
-  KeyedStore platform(cluster.PlatformAddress());
-  auto keys = platform.List("journal/catalogue-1/");
-  cr_assert(keys && !keys->empty());
-  std::string origin;
-  std::vector<JournalRecord> records;
-  for (const std::string& key : *keys) {
-    auto batch = DecodeJournal(platform.Get(key).value()->m_value, key);
-    cr_assert(batch.has_value());
-    origin = batch->m_origin;
-    records.insert(
-      records.end(), batch->m_records.begin(), batch->m_records.end());
-  }
-  cr_assert(!VerifyJournal(origin, records));
-  AuditReport report = AuditOrder(records);
+  AuditReport report =
+    AuditStoredJournal(cluster.PlatformAddress(), "catalogue-1");
   cr_assert(report.m_started > 0);
   cr_assert(report.m_open == 0);
   cr_assert(report.m_faults.empty());
--- a/test/process/PacketPath.cpp
+++ b/test/process/PacketPath.cpp
@@ -1,7 +1,5 @@
-#include "Audit.h"
-#include "Codec.h"
 #include "FlowCluster.h"
-#include "KeyedStore.h"
+#include "StoredJournal.h"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -132,20 +130,8 @@
   cr_assert_eq(path.m_cluster.Agent(0).Wait(), 0);
   path.m_callers->Stop();
 
-  KeyedStore store(path.m_cluster.StoreAddress());
-  auto keys = store.List("journal/agent-0/");
-  cr_assert(keys && !keys->empty());
-  std::string origin;
-  std::vector<JournalRecord> records;
-  for (const std::string& key : *keys) {
-    auto batch = DecodeJournal(store.Get(key).value()->m_value, key);
-    cr_assert(batch.has_value());
-    origin = batch->m_origin;
-    records.insert(
-      records.end(), batch->m_records.begin(), batch->m_records.end());
-  }
-  cr_assert(!VerifyJournal(origin, records));
-  AuditReport report = AuditOrder(records);
+  AuditReport report =
+    AuditStoredJournal(path.m_cluster.StoreAddress(), "agent-0");
   cr_assert_gt(report.m_started, 5);
   cr_assert_eq(report.m_open, 0);
   cr_assert(report.m_faults.empty());
