--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -138,7 +138,7 @@
     }
     // A conflict means that the batch was stored before and its answer lost.
     m_journal.OnStored(last);
-    aOnEnd();
+    Store(aOnEnd);
   };
   m_store.Create(
     name.m_kind,
--- a/packages/flownode/FlowJournal.h
+++ b/packages/flownode/FlowJournal.h
@@ -27,7 +27,10 @@
   void OnEnded(TimePoint aNow, const FlowKey& aFlow);
   void OnRefused(TimePoint aNow, const FlowKey& aFlow, HandBack aReason);
 
-  /** Stores what is pending; aOnEnd is called on the loop's thread. */
+  /**
+   * Stores all that is pending, batch after batch, or up to the first failure;
+   * aOnEnd is called on the loop's thread.
+   */
   void Store(const std::function<void()>& aOnEnd);
 
   size_t PendingCount() const { return m_journal.PendingCount(); }
--- /dev/null
+++ b/test/process/JournalBatches.cpp
@@ -0,0 +1,30 @@
+#include "FlowCluster.h"
+#include "FlowJournal.h"
+#include "StoredJournal.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+TestSuite(JournalBatches, .fini = Process::KillAll);
+
+// A busy server's agent makes more records in a minute than one object holds.
+Test(JournalBatches, AllPendingRecordsAreStoredAtOnce)
+{
+  constexpr uint32_t kFlows = 6000;
+  const char* build = std::getenv("BILBERRY_BUILD");
+  FlowCluster cluster(build ? build : "build", 0, 0);
+  cluster.Start();
+  FlowLoop loop;
+  StoreClient store(cluster.StoreAddress());
+  FlowJournal journal(loop, store, "busy-agent/1", "desk");
+  for (uint32_t i = 0; i < kFlows; ++i) {
+    FlowKey flow{ { 0x64400001 + i, 1024 }, FlowCluster::Service() };
+    journal.OnOpened(FlowLoop::Now(), flow);
+  }
+  journal.Store([&] { loop.Stop(); });
+  loop.Run();
+  cr_assert_eq(journal.PendingCount(), 0, "%zu left", journal.PendingCount());
+  AuditReport report = AuditStoredJournal(cluster.StoreAddress(), "busy-agent");
+  cr_assert_eq(report.m_started, kFlows);
+}
