Read a load tag in one place; remove what nothing uses

The balancer shifted the tag by hand beside TaggedLoad::Unpack, which nothing called; it moves beside the messages. FlowAgent::Server and three includes go. Behaviour is unchanged.

--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -45,23 +45,6 @@
   size_t m_maxFlows = 100'000;
 };
 
-/** Load in a packet's tag: busy flows and slots. */
-struct TaggedLoad
-{
-  uint16_t m_busy = 0;
-  uint16_t m_slots = 1;
-
-  uint32_t Pack() const
-  {
-    return (static_cast<uint32_t>(m_busy) << 16U) | m_slots;
-  }
-  static TaggedLoad Unpack(uint32_t aTag)
-  {
-    return { static_cast<uint16_t>(aTag >> 16U),
-             static_cast<uint16_t>(aTag & 0xFFFFU) };
-  }
-};
-
 /** A caller's opening packet that the server has not answered. */
 struct UnansweredOpening
 {
@@ -119,7 +102,6 @@
   ServerCondition Condition(TimePoint aNow) const;
 
   TaggedLoad Load() const;
-  const ServerTracker& Server() const { return m_server; }
 
   /** True when a balancer that reads the store misses this agent there. */
   bool IsMissedInStore() const { return m_isMissedInStore; }
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -222,7 +222,7 @@
     return m_steps;
   }
   m_agents.OnHandBack(
-    aAgentIp, aReason, static_cast<uint32_t>(aHeader.m_tag >> 16U));
+    aAgentIp, aReason, TaggedLoad::Unpack(aHeader.m_tag).m_busy);
   if (!flow || flow->m_openSeq != aHeader.m_seq) {
     m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
     flow = m_flows.Find(key);
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -5,9 +5,7 @@
 #include "LatencyHistogram.h"
 #include "RouteTable.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <array>
-#include <string_view>
 
 namespace bilberryfield {
 
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -198,6 +198,23 @@
   Queue,  /**< Take it, also when it has to wait. */
 };
 
+/** Load in a packet's tag: busy flows and slots. */
+struct TaggedLoad
+{
+  uint16_t m_busy = 0;
+  uint16_t m_slots = 1;
+
+  uint32_t Pack() const
+  {
+    return (static_cast<uint32_t>(m_busy) << 16U) | m_slots;
+  }
+  static TaggedLoad Unpack(uint32_t aTag)
+  {
+    return { static_cast<uint16_t>(aTag >> 16U),
+             static_cast<uint16_t>(aTag & 0xFFFFU) };
+  }
+};
+
 /** Value of PacketHeader::m_tag that names a service, for the agent's check. */
 uint32_t
 ServiceTag(const std::string& aService);
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -6,7 +6,6 @@
 #include "MetricsText.h"
 #include "OperatorConfig.h"
 #include "PacketCodec.h"
-#include "Rendezvous.h"
 
 namespace bilberryfield {
 
