Check drained servers by what reached each of them, not by the last arrival

Change: for each life of an agent, the bodies that reached it in time; it may start no other. This is stricter: the old check forgot a late request as soon as another one arrived.

--- a/test/FakeSystem.cpp
+++ b/test/FakeSystem.cpp
@@ -334,7 +334,7 @@
 FakeSystem::OnStart(size_t aAgent, const StartWork& aStart)
 {
   const std::string& body = aStart.m_request.m_body;
-  Check(!m_isPastGrace || body != m_arrivedBody,
+  Check(m_arrivedInTime.contains({ m_agentLife[aAgent], body }),
         "a drained server got the new request " + body);
   size_t space = body.find(' ');
   size_t last = body.rfind(' ');
@@ -419,8 +419,11 @@
     // end; one for an earlier start of the agent finds nobody.
     if (isAgentSame) {
       const auto& drainSince = m_drainSince[packet.m_agent];
-      m_isPastGrace = drainSince && m_now - *drainSince >= kDrainGrace;
-      m_arrivedBody = forward->m_request.m_body;
+      bool isPastGrace = drainSince && m_now - *drainSince >= kDrainGrace;
+      if (!isPastGrace) {
+        m_arrivedInTime.insert(
+          { packet.m_agentLife, forward->m_request.m_body });
+      }
       DecideAgent(packet.m_agent,
                   ForwardArrived{ packet.m_balancerLife, *forward });
     }
--- a/test/FakeSystem.h
+++ b/test/FakeSystem.h
@@ -175,9 +175,11 @@
   std::map<std::string, std::vector<uint32_t>> m_started;
   /** Highest attempt of each request that was told "not run". */
   std::map<std::string, uint32_t> m_deniedAttempt;
-  /** Body of the request that arrived last, and whether it came too late. */
-  std::string m_arrivedBody;
-  bool m_isPastGrace = false;
+  /**
+   * Life of an agent and body of a request that reached it before the grace
+   * time of a drain was over. The agent may start no other request.
+   */
+  std::set<std::pair<uint64_t, std::string>> m_arrivedInTime;
   uint64_t m_nextAsk = 1;
   uint64_t m_nextLife = 1;
   uint64_t m_served = 0;
