Measure what packets, flows and agents cost on the packet path

FlowCosts runs the decisions with the platform's packet codec and, for the daemon's loop, real datagrams on loopback beside bare recv and send; it is part of 'make bench' and 'make capacity'.

--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,12 @@
 
 bench: build
 	$(BUILD)/test/performance/PolicyBench $(SEED)
+	$(BUILD)/test/performance/FlowCosts
 
 # Measures what docs/CAPACITY.md is worked out from.
 capacity: build
 	$(BUILD)/test/performance/Capacity
+	$(BUILD)/test/performance/FlowCosts
 
 format:
 	clang-format -i $(SOURCES)
--- a/test/performance/Capacity.cpp
+++ b/test/performance/Capacity.cpp
@@ -7,12 +7,10 @@
 #include "BalancerCore.h"
 #include "Codec.h"
 #include "FakeFleet.h"
+#include "Figures.h"
 #include "PeerHub.h"
 
 #include <atomic>
-#include <ctime>
-#include <iostream>
-#include <malloc.h>
 #include <sodium.h>
 #include <thread>
 
@@ -20,45 +18,6 @@
 
 using namespace bilberryfield;
 
-double
-ProcessorSeconds()
-{
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) * 1e-9;
-}
-
-double
-HeapBytes()
-{
-  struct mallinfo2 info = mallinfo2();
-  return static_cast<double>(info.uordblks + info.hblkhd);
-}
-
-void
-Print(const std::string& aFigure,
-      const nlohmann::json& aAt,
-      double aValue,
-      const std::string& aUnit)
-{
-  nlohmann::ordered_json line = {
-    { "figure", aFigure }, { "at", aAt }, { "value", aValue }, { "unit", aUnit }
-  };
-  std::cout << line.dump() << std::endl;
-}
-
-template<typename Function>
-double
-MicrosecondsPerCall(size_t aCalls, Function aFunction)
-{
-  double start = ProcessorSeconds();
-  for (size_t i = 0; i < aCalls; ++i) {
-    aFunction(i);
-  }
-  return (ProcessorSeconds() - start) * 1e6 / static_cast<double>(aCalls);
-}
-
 ServiceConfig
 ServiceNumber(size_t aNumber)
 {
