Bound what a balancer hears from agents, whatever their number

Cause: every agent sent a whole report (102 B) ten times a second to every balancer, more often in its own failure domain. Ruled out: a narrower subscription (a few agents for each service): balancers of one domain would then spread flows unevenly over its servers. Change: the balancer asks each agent for a pace (ListeningPlan): agents of its own domain share 210 reports a second, all others 100. A load report is 21 B; who the agent is, and newer versions, are told only to a balancer that does not know them. Subscriptions are repeated every second for up to 60 agents, more seldom for more; a new version is told within 300 ms, and an agent whose report is missing is asked again after 200 ms. Found on the way: the tests' net subscribed 50 times a second, the daemon once; it now uses the daemon's plan. Four properties then failed (agents silent for up to 1 s after their restart) until missing reports were asked for.

Few agents are heard as often as before.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Silence after which an agent gets no new flows. */
-constexpr Duration kSilenceLimit = Milliseconds(350);
+/** Reports that may be missing before an agent gets no new flows. */
+constexpr double kMissedReports = 3.5;
 /** Time in which a newly listed agent is taken without a report. */
 constexpr Duration kFirstReportLimit = Milliseconds(600);
 /** Silence after which an unlisted agent is forgotten. */
@@ -63,15 +63,42 @@
 }
 
 void
-AgentList::OnReport(TimePoint aNow, const ServerLoad& aReport)
+AgentList::OnReport(TimePoint aNow, const AgentReport& aReport)
 {
   KnownAgent& agent =
     Take(aNow, { aReport.m_service, aReport.m_domain, aReport.m_packets });
   agent.m_heardAt = aNow;
-  agent.m_condition = aReport.m_condition;
-  agent.m_busy = aReport.m_busy;
-  agent.m_slots = std::max<uint32_t>(aReport.m_slots, 1);
-  agent.m_answerUs = aReport.m_answerUs;
+  SetLoad(agent, aReport.m_load);
+}
+
+void
+AgentList::OnLoad(TimePoint aNow, uint32_t aAgentIp, const ServerLoad& aLoad)
+{
+  auto found = m_agents.find(aAgentIp);
+  if (found == m_agents.end() || !found->second.m_heardAt) {
+    return;
+  }
+  found->second.m_heardAt = aNow;
+  SetLoad(found->second, aLoad);
+}
+
+void
+AgentList::SetLoad(KnownAgent& aAgent, const ServerLoad& aLoad)
+{
+  aAgent.m_load = aLoad;
+  aAgent.m_load.m_slots = std::max<uint32_t>(aLoad.m_slots, 1);
+}
+
+// When the pace changes, the agent still keeps to the earlier one until it
+// has the subscription.
+void
+AgentList::OnSubscribed(uint32_t aAgentIp, const ReportPace& aPace)
+{
+  auto found = m_agents.find(aAgentIp);
+  if (found != m_agents.end()) {
+    found->second.m_silenceLimit =
+      std::chrono::duration_cast<Duration>(kMissedReports * aPace.m_every);
+  }
 }
 
 void
@@ -84,18 +111,18 @@
   KnownAgent& agent = found->second;
   switch (aReason) {
     case HandBack::Starting:
-      agent.m_condition = ServerCondition::Unknown;
+      agent.m_load.m_condition = ServerCondition::Unknown;
       break;
     case HandBack::NotAccepting:
     case HandBack::WrongService:
-      agent.m_condition = ServerCondition::Draining;
+      agent.m_load.m_condition = ServerCondition::Draining;
       break;
     case HandBack::Silent:
-      agent.m_condition = ServerCondition::Silent;
+      agent.m_load.m_condition = ServerCondition::Silent;
       break;
     case HandBack::Full:
     case HandBack::Bounced:
-      agent.m_busy = std::max(aBusy, agent.m_slots);
+      agent.m_load.m_busy = std::max(aBusy, agent.m_load.m_slots);
       break;
     case HandBack::None:
     case HandBack::NotOwner:
@@ -108,7 +135,7 @@
 AgentList::OnPlaced(uint32_t aAgentIp)
 {
   if (auto found = m_agents.find(aAgentIp); found != m_agents.end()) {
-    found->second.m_busy += 1;
+    found->second.m_load.m_busy += 1;
   }
 }
 
@@ -140,7 +167,7 @@
 bool
 AgentList::Hears(TimePoint aNow, const KnownAgent& aAgent) const
 {
-  return aAgent.m_heardAt && aNow - *aAgent.m_heardAt <= kSilenceLimit;
+  return aAgent.m_heardAt && aNow - *aAgent.m_heardAt <= aAgent.m_silenceLimit;
 }
 
 std::vector<PlacementCandidate>
@@ -151,18 +178,18 @@
   std::vector<PlacementCandidate> candidates;
   for (uint32_t ip : AgentsOf(aService)) {
     const KnownAgent& agent = m_agents.at(ip);
-    bool isUsable =
-      IsNew(aNow, agent) ||
-      (Hears(aNow, agent) && agent.m_condition == ServerCondition::Ready);
+    bool isUsable = IsNew(aNow, agent) ||
+                    (Hears(aNow, agent) &&
+                     agent.m_load.m_condition == ServerCondition::Ready);
     bool wasTried = std::find(aTried.begin(), aTried.end(), ip) != aTried.end();
     if (!isUsable || wasTried) {
       continue;
     }
     candidates.push_back({ ip,
-                           agent.m_entry.m_domain == m_ownDomain,
-                           agent.m_busy,
-                           agent.m_slots,
-                           agent.m_answerUs });
+                           IsNear(agent),
+                           agent.m_load.m_busy,
+                           agent.m_load.m_slots,
+                           agent.m_load.m_answerUs });
   }
   return candidates;
 }
@@ -181,7 +208,7 @@
   return std::any_of(agents.begin(), agents.end(), [&](uint32_t aIp) {
     const KnownAgent& agent = m_agents.at(aIp);
     bool isPresent = Hears(aNow, agent) || IsNew(aNow, agent);
-    return isPresent && agent.m_condition == ServerCondition::Unknown;
+    return isPresent && agent.m_load.m_condition == ServerCondition::Unknown;
   });
 }
 
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -29,10 +29,9 @@
   TimePoint m_knownSince;
   /** Time of the last report; nothing before the first one. */
   std::optional<TimePoint> m_heardAt;
-  ServerCondition m_condition = ServerCondition::Unknown;
-  uint32_t m_busy = 0;
-  uint32_t m_slots = 1;
-  uint32_t m_answerUs = 0;
+  /** Silence after which it gets no new flows. */
+  Duration m_silenceLimit{ 0 };
+  ServerLoad m_load;
 };
 
 /** What a balancer knows of all agents: the store's list and their reports. */
@@ -54,7 +53,13 @@
   uint64_t Revision() const { return m_revision; }
 
   /** A report names its agent by the address that it takes packets at. */
-  void OnReport(TimePoint aNow, const ServerLoad& aReport);
+  void OnReport(TimePoint aNow, const AgentReport& aReport);
+
+  /** Load of an agent that reported before; others are ignored. */
+  void OnLoad(TimePoint aNow, uint32_t aAgentIp, const ServerLoad& aLoad);
+
+  /** The pace at which an agent was asked to report. */
+  void OnSubscribed(uint32_t aAgentIp, const ReportPace& aPace);
 
   /** An agent handed an opening packet back. */
   void OnHandBack(uint32_t aAgentIp, HandBack aReason, uint32_t aBusy);
@@ -80,6 +85,12 @@
   /** Agents that a flow of a service may be at, whatever their condition. */
   const std::set<uint32_t>& AgentsOf(const std::string& aService) const;
 
+  /** True for an agent in this balancer's failure domain. */
+  bool IsNear(const KnownAgent& aAgent) const
+  {
+    return aAgent.m_entry.m_domain == m_ownDomain;
+  }
+
   const KnownAgent* Find(uint32_t aAgentIp) const;
   const std::map<uint32_t, KnownAgent>& All() const { return m_agents; }
 
@@ -92,6 +103,7 @@
 private:
   /** The agent at an address, made anew when its entry is another one. */
   KnownAgent& Take(TimePoint aNow, const AgentEntry& aEntry);
+  static void SetLoad(KnownAgent& aAgent, const ServerLoad& aLoad);
   void ForgetService(uint32_t aAgentIp, const std::string& aService);
   bool IsNew(TimePoint aNow, const KnownAgent& aAgent) const;
 
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-/** Silence after which a balancer gets no more reports. */
-constexpr Duration kSubscriptionLife = Seconds(4);
-/** Time between two reports when nothing has changed. */
-constexpr Duration kReportEvery = Milliseconds(100);
-/** As kReportEvery, when the load has changed but not whether it is full. */
-constexpr Duration kChangedReportEvery = Milliseconds(40);
 /** Time in which a server that works answers an opening packet. */
 constexpr Duration kOpeningAnswerLimit = Milliseconds(60);
 /** Time after which a busy flow no longer counts as load. */
@@ -252,7 +246,10 @@
 {
   Subscriber& subscriber = m_subscribers[aBalancerIp];
   subscriber.m_heardAt = aNow;
-  subscriber.m_domain = aMessage.m_domain;
+  subscriber.m_pace = aMessage.m_pace;
+  subscriber.m_knowsAgent = aMessage.m_knownTag == m_serviceTag;
+  subscriber.m_routes = aMessage.m_routes.m_version;
+  subscriber.m_agents = aMessage.m_agents.m_version;
   m_isMissedInStore = m_isMissedInStore || !aMessage.m_isListed;
   if (aMessage.m_routes.m_version >= m_routes.m_version) {
     m_routes = aMessage.m_routes;
@@ -277,38 +274,48 @@
 }
 
 ServerLoad
-FlowAgent::MakeReport(TimePoint aNow) const
+FlowAgent::CurrentLoad(TimePoint aNow) const
 {
-  ServerLoad report;
-  report.m_service = m_options.m_service;
-  report.m_domain = m_options.m_domain;
-  report.m_packets = m_options.m_packets;
-  report.m_condition = Condition(aNow);
-  report.m_busy = m_busy;
-  report.m_slots = Load().m_slots;
-  report.m_answerUs = static_cast<uint32_t>(m_answerUs);
-  report.m_routes = m_routes;
-  report.m_agents = m_agents;
-  return report;
+  return {
+    Condition(aNow), m_busy, Load().m_slots, static_cast<uint32_t>(m_answerUs)
+  };
+}
+
+AgentReport
+FlowAgent::MakeReport(const ServerLoad& aLoad) const
+{
+  return { m_options.m_service,
+           m_options.m_domain,
+           m_options.m_packets,
+           aLoad,
+           m_routes,
+           m_agents };
+}
+
+bool
+FlowAgent::NeedsWholeReport(const Subscriber& aSubscriber) const
+{
+  return !aSubscriber.m_knowsAgent ||
+         aSubscriber.m_routes < m_routes.m_version ||
+         aSubscriber.m_agents < m_agents.m_version;
 }
 
-// Balancers of the same failure domain place most of the flows here, so they
-// hear of changes soon; the others hear at a steady pace.
 bool
 FlowAgent::IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const
 {
-  if (aNow - aSubscriber.m_reportedAt >= kReportEvery ||
+  Duration since = aNow - aSubscriber.m_reportedAt;
+  if (since >= aSubscriber.m_pace.m_every || !aSubscriber.m_knowsAgent ||
       aSubscriber.m_reportedCondition != Condition(aNow)) {
     return true;
   }
-  if (aSubscriber.m_domain != m_options.m_domain ||
-      aSubscriber.m_reportedBusy == m_busy) {
+  if (aSubscriber.m_reportedBusy == m_busy) {
     return false;
   }
   uint32_t slots = Load().m_slots;
   bool wasFull = aSubscriber.m_reportedBusy >= slots;
-  return wasFull != (m_busy >= slots) ||
-         aNow - aSubscriber.m_reportedAt >= kChangedReportEvery;
+  bool hasTurned = wasFull != (m_busy >= slots);
+  return since >= (hasTurned ? aSubscriber.m_pace.m_onFull
+                             : aSubscriber.m_pace.m_onChange);
 }
 
 DueReports
@@ -322,20 +329,26 @@
     m_denied.EndPeriod();
   }
   std::erase_if(m_subscribers, [&](const auto& aItem) {
-    return aNow - aItem.second.m_heardAt > kSubscriptionLife;
+    return aNow - aItem.second.m_heardAt > aItem.second.m_pace.m_life;
   });
   DueReports reports;
+  reports.m_load = CurrentLoad(aNow);
   for (auto& [ip, subscriber] : m_subscribers) {
     if (!IsReportDue(aNow, subscriber)) {
       continue;
     }
     subscriber.m_reportedAt = aNow;
     subscriber.m_reportedBusy = m_busy;
-    subscriber.m_reportedCondition = Condition(aNow);
-    reports.m_balancerIps.push_back(ip);
-  }
-  if (!reports.m_balancerIps.empty()) {
-    reports.m_report = MakeReport(aNow);
+    subscriber.m_reportedCondition = reports.m_load.m_condition;
+    bool isWhole = NeedsWholeReport(subscriber);
+    (isWhole ? reports.m_reportTo : reports.m_loadTo).push_back(ip);
+    // A report that is lost is made up for after the next subscription.
+    subscriber.m_knowsAgent = true;
+    subscriber.m_routes = std::max(subscriber.m_routes, m_routes.m_version);
+    subscriber.m_agents = std::max(subscriber.m_agents, m_agents.m_version);
+  }
+  if (!reports.m_reportTo.empty()) {
+    reports.m_report = MakeReport(reports.m_load);
   }
   return reports;
 }
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -54,11 +54,14 @@
   absl::InlinedVector<uint8_t, 40> m_bytes;
 };
 
-/** One report for several balancers. */
+/** Reports for several balancers. */
 struct DueReports
 {
-  std::vector<uint32_t> m_balancerIps;
-  ServerLoad m_report;
+  /** Balancers that have to learn who the agent is, or newer versions. */
+  std::vector<uint32_t> m_reportTo;
+  AgentReport m_report;
+  std::vector<uint32_t> m_loadTo;
+  ServerLoad m_load;
 };
 
 /**
@@ -142,9 +145,13 @@
   {
     TimePoint m_heardAt;
     TimePoint m_reportedAt;
-    std::string m_domain;
+    ReportPace m_pace;
     uint32_t m_reportedBusy = 0;
     ServerCondition m_reportedCondition = ServerCondition::Unknown;
+    bool m_knowsAgent = false;
+    /** Versions that the balancer has, or was told of. */
+    uint64_t m_routes = 0;
+    uint64_t m_agents = 0;
   };
 
   struct BusyEntry
@@ -172,7 +179,9 @@
   void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
   void EndStuckFlows(TimePoint aNow);
   void EndUnconfirmed(TimePoint aNow);
-  ServerLoad MakeReport(TimePoint aNow) const;
+  ServerLoad CurrentLoad(TimePoint aNow) const;
+  AgentReport MakeReport(const ServerLoad& aLoad) const;
+  bool NeedsWholeReport(const Subscriber& aSubscriber) const;
   bool IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const;
 
   FlowAgentOptions m_options;
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -51,35 +51,58 @@
   }
 };
 
+/** How often a balancer wants to hear from an agent. */
+struct ReportPace
+{
+  /** Time between two reports when nothing has changed. */
+  Milliseconds m_every{ 100 };
+  /** As m_every, when the load has changed but not whether it is full. */
+  Milliseconds m_onChange{ 40 };
+  /** As m_every, when the server has no free slot any more, or one again. */
+  Milliseconds m_onFull{ 20 };
+  /** Time for which the agent goes on without another subscription. */
+  Milliseconds m_life{ 4000 };
+
+  bool operator==(const ReportPace&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("e", aSelf.m_every);
+    aVisitor("c", aSelf.m_onChange);
+    aVisitor("f", aSelf.m_onFull);
+    aVisitor("l", aSelf.m_life);
+  }
+};
+
 /** From a balancer to an agent: asks for load reports for a while. */
 struct Subscribe
 {
-  std::string m_domain;
+  ReportPace m_pace;
   /** The balancer's newest configuration and agent list. */
   VersionHolder m_routes;
   VersionHolder m_agents;
   /** The balancer found the agent in the platform's store. */
   bool m_isListed = true;
+  /** Tag of the service that the agent reported last; 0 before that. */
+  uint32_t m_knownTag = 0;
 
   bool operator==(const Subscribe&) const = default;
 
   template<typename Self, typename Visitor>
   static void Fields(Self& aSelf, Visitor& aVisitor)
   {
-    aVisitor("d", aSelf.m_domain);
+    aVisitor("p", aSelf.m_pace);
     aVisitor("r", aSelf.m_routes);
     aVisitor("a", aSelf.m_agents);
     aVisitor("l", aSelf.m_isListed);
+    aVisitor("t", aSelf.m_knownTag);
   }
 };
 
-/** From an agent to a balancer: its server's load. */
+/** From an agent to a balancer that knows it: its server's load. */
 struct ServerLoad
 {
-  std::string m_service;
-  std::string m_domain;
-  /** Where the agent takes packets for its server. */
-  Endpoint m_packets;
   ServerCondition m_condition = ServerCondition::Unknown;
   /** Flows whose request waits or runs. */
   uint32_t m_busy = 0;
@@ -87,11 +110,32 @@
   uint32_t m_slots = 1;
   /** Mean time from a flow's first packet to its answer, microseconds. */
   uint32_t m_answerUs = 0;
+
+  bool operator==(const ServerLoad&) const = default;
+
+  template<typename Self, typename Visitor>
+  static void Fields(Self& aSelf, Visitor& aVisitor)
+  {
+    aVisitor("c", aSelf.m_condition);
+    aVisitor("b", aSelf.m_busy);
+    aVisitor("n", aSelf.m_slots);
+    aVisitor("u", aSelf.m_answerUs);
+  }
+};
+
+/** From an agent to a balancer that does not know it, or not the versions. */
+struct AgentReport
+{
+  std::string m_service;
+  std::string m_domain;
+  /** Where the agent takes packets for its server. */
+  Endpoint m_packets;
+  ServerLoad m_load;
   /** The newest versions that the agent heard of. */
   VersionHolder m_routes;
   VersionHolder m_agents;
 
-  bool operator==(const ServerLoad&) const = default;
+  bool operator==(const AgentReport&) const = default;
 
   template<typename Self, typename Visitor>
   static void Fields(Self& aSelf, Visitor& aVisitor)
@@ -99,10 +143,7 @@
     aVisitor("s", aSelf.m_service);
     aVisitor("d", aSelf.m_domain);
     aVisitor("p", aSelf.m_packets);
-    aVisitor("c", aSelf.m_condition);
-    aVisitor("b", aSelf.m_busy);
-    aVisitor("n", aSelf.m_slots);
-    aVisitor("u", aSelf.m_answerUs);
+    aVisitor("l", aSelf.m_load);
     aVisitor("r", aSelf.m_routes);
     aVisitor("a", aSelf.m_agents);
   }
@@ -164,7 +205,8 @@
 };
 
 /** What balancers and agents tell each other in datagrams. */
-using FlowMessage = std::variant<Subscribe, ServerLoad, FlowQuery, FlowAnswer>;
+using FlowMessage =
+  std::variant<Subscribe, AgentReport, ServerLoad, FlowQuery, FlowAnswer>;
 
 /** Why an agent hands a packet back to the balancer that sent it. */
 enum class HandBack : uint8_t
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -320,7 +320,8 @@
     m_journal.OnRefused(now, opening.m_flow, HandBack::Silent);
   }
   DueReports due = m_core.OnTick(now);
-  m_control.SendToAll(due.m_balancerIps, due.m_report);
+  m_control.SendToAll(due.m_reportTo, due.m_report);
+  m_control.SendToAll(due.m_loadTo, due.m_load);
   bool isServerHere =
     condition != ServerCondition::Unknown && condition != ServerCondition::Gone;
   m_registrar.SetWanted(isServerHere);
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/** Time between two subscriptions to each agent. */
-constexpr Duration kSubscribeEvery = Seconds(1);
 constexpr Duration kAskPeersEvery = Milliseconds(200);
 /** Time in which the fabric notices that a balancer is not ready. */
 constexpr Duration kFabricNotices = Milliseconds(2500);
@@ -115,10 +113,8 @@
   }
   m_loop.Every(FlowBalancer::kTick, [this] { OnTick(); });
   m_loop.Every(kAskPeersEvery, [this] { AskPeers(); });
-  m_loop.Every(kSubscribeEvery, [this] {
-    SubscribeToAgents();
-    LogWhatWasLeftOut();
-  });
+  m_loop.Every(ListeningPlan::kTick, [this] { SubscribeToAgents(); });
+  m_loop.Every(Seconds(1), LogWhatWasLeftOut);
   m_routesFollower.Start();
   m_agentsFollower.Start();
   return {};
@@ -207,12 +203,13 @@
       { { "agent", IpToText(ip) },
         { "service", agent.m_entry.m_service },
         { "failure_domain", agent.m_entry.m_domain },
-        { "condition", NameOf(kServerConditionNames, agent.m_condition) },
+        { "condition",
+          NameOf(kServerConditionNames, agent.m_load.m_condition) },
         { "heard", m_core.Agents().Hears(now, agent) },
         { "listed", agent.m_isListed },
-        { "busy", agent.m_busy },
-        { "slots", agent.m_slots },
-        { "answer_ms", agent.m_answerUs / 1000 } });
+        { "busy", agent.m_load.m_busy },
+        { "slots", agent.m_load.m_slots },
+        { "answer_ms", agent.m_load.m_answerUs / 1000 } });
   }
   return { kOk,
            { { "id", m_settings.m_id },
@@ -307,14 +304,16 @@
 {
   TimePoint now = FlowLoop::Now();
   if (const auto* load = std::get_if<ServerLoad>(&aMessage)) {
-    if (load->m_packets.m_ip != aFromIp) {
+    m_core.Agents().OnLoad(now, aFromIp, *load);
+  } else if (const auto* report = std::get_if<AgentReport>(&aMessage)) {
+    if (report->m_packets.m_ip != aFromIp) {
       return Log(LogLevel::Warning,
                  "report-rejected",
-                 { { "agent", IpToText(load->m_packets.m_ip) },
+                 { { "agent", IpToText(report->m_packets.m_ip) },
                    { "sent_by", IpToText(aFromIp) } });
     }
-    m_core.Agents().OnReport(now, *load);
-    m_peerNews.OnReport(now, load->m_routes, load->m_agents);
+    m_core.Agents().OnReport(now, *report);
+    m_peerNews.OnReport(now, report->m_routes, report->m_agents);
   } else if (const auto* answer = std::get_if<FlowAnswer>(&aMessage)) {
     Execute(m_core.OnAnswer(now, aFromIp, *answer), {});
   }
@@ -426,13 +425,14 @@
 void
 BalancerDaemon::SubscribeToAgents()
 {
-  Subscribe message;
-  message.m_domain = m_settings.m_domain;
-  message.m_routes = { m_core.RoutesVersion(), m_settings.m_adminListen };
-  message.m_agents = { m_core.Agents().Revision(), m_settings.m_adminListen };
-  for (const auto& [ip, agent] : m_core.Agents().All()) {
-    message.m_isListed = agent.m_isListed;
-    m_control.Send(ip, message);
+  const Endpoint& self = m_settings.m_adminListen;
+  std::vector<DueSubscription> due =
+    m_listening.OnTick(FlowLoop::Now(),
+                       m_core.Agents(),
+                       { m_core.RoutesVersion(), self },
+                       { m_core.Agents().Revision(), self });
+  for (const DueSubscription& subscription : due) {
+    m_control.Send(subscription.m_agentIp, subscription.m_message);
   }
 }
 
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -5,6 +5,7 @@
 #include "FlowBalancer.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
+#include "ListeningPlan.h"
 #include "PeerSync.h"
 #include "StoreFollower.h"
 
@@ -55,6 +56,7 @@
   FlowBalancer m_core;
   StoreFollower m_routesFollower;
   StoreFollower m_agentsFollower;
+  ListeningPlan m_listening;
   PeerNews m_peerNews;
   PeerSync m_peerSync;
   /** The configuration in force, as the operator stored it. */
--- a/packages/peer/FieldCodec.h
+++ b/packages/peer/FieldCodec.h
@@ -2,6 +2,7 @@
 
 #include "Error.h"
 #include "ServiceConfig.h"
+#include "Time.h"
 
 #include <type_traits>
 #include <variant>
@@ -34,6 +35,8 @@
   {
     if constexpr (std::is_enum_v<Value>) {
       return static_cast<uint64_t>(aValue);
+    } else if constexpr (std::is_same_v<Value, Milliseconds>) {
+      return aValue.count();
     } else if constexpr (std::is_same_v<Value, ServiceConfig>) {
       return ToJson(aValue);
     } else if constexpr (requires(FieldWriter & aWriter) {
@@ -91,6 +94,8 @@
   {
     if constexpr (std::is_enum_v<Value>) {
       DecodeEnum(aJson, aValue);
+    } else if constexpr (std::is_same_v<Value, Milliseconds>) {
+      DecodeTime(aJson, aValue);
     } else if constexpr (std::is_same_v<Value, ServiceConfig>) {
       DecodeService(aJson, aValue);
     } else if constexpr (requires(FieldReader & aReader) {
@@ -125,6 +130,16 @@
     aValue = static_cast<Enum>(number);
   }
 
+  static void DecodeTime(const nlohmann::json& aJson, Milliseconds& aValue)
+  {
+    auto count = aJson.get<int64_t>();
+    if (count < 0 || count > kLongestTime.count()) {
+      throw nlohmann::json::other_error::create(
+        0, "time out of range: " + std::to_string(count) + " ms", nullptr);
+    }
+    aValue = Milliseconds(count);
+  }
+
   static void DecodeService(const nlohmann::json& aJson,
                             ServiceConfig& aService)
   {
@@ -137,6 +152,9 @@
     aService = std::move(*parsed);
   }
 
+  /** No process waits longer for another one. */
+  static constexpr Milliseconds kLongestTime = std::chrono::hours(1);
+
   const nlohmann::json& m_object;
 };
 
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -2,6 +2,7 @@
 
 #include "FlowAgent.h"
 #include "FlowBalancer.h"
+#include "ListeningPlan.h"
 
 #include <functional>
 #include <memory>
@@ -124,6 +125,7 @@
     uint32_t m_ip = 0;
     std::string m_domain;
     std::unique_ptr<FlowBalancer> m_core;
+    ListeningPlan m_listening;
   };
   struct Event
   {
@@ -165,6 +167,8 @@
                   uint16_t aLength);
   void RunWaiting(Server& aServer);
   size_t BalancerAt(uint32_t aIp) const;
+  AgentList& AgentsAt(uint32_t aBalancerIp);
+  void SubscribeFrom(Node& aBalancer);
 
   std::mt19937_64 m_random;
   TimePoint m_now{ Seconds(1000) };
