Count a pause before the first packet after it is decided on

The pause was counted at its next tick, but the packets that had waited in the socket were read first, with all agents silent for longer than 350 ms. Ruled out: agents really silent (the other balancers placed flows on them), and the fabric's view (the balancer was in rotation). Change: the balancer counts a pause at every event, before it decides. The agent does the same for its server: after a pause it called the server silent and handed back openings whose answers it had not read yet. PauseDetector, now one for all, tells how long the pause was.

--- a/packages/decision/Membership.cpp
+++ b/packages/decision/Membership.cpp
@@ -402,7 +402,7 @@
   if (!m_firstTick) {
     m_firstTick = aNow;
   }
-  if (m_pause.OnTick(aNow)) {
+  if (m_pause.OnEvent(aNow) > Duration(0)) {
     ForgiveAll(aNow);
   }
   Learn(aNow, m_self);
--- a/packages/decision/PauseDetector.h
+++ b/packages/decision/PauseDetector.h
@@ -6,22 +6,22 @@
 
 namespace bilberryfield {
 
-/** Finds out that the process was paused, from gaps between its ticks. */
+/** Finds out that the process was paused, from gaps between its events. */
 class PauseDetector
 {
 public:
-  /** aLimit is the longest gap between ticks that counts as running. */
+  /** aLimit is the longest gap that counts as running. */
   explicit PauseDetector(Duration aLimit)
     : m_limit(aLimit)
   {
   }
 
-  /** Records a tick; true when the process was paused before it. */
-  bool OnTick(TimePoint aNow)
+  /** Records an event; the length of the pause before it, or zero. */
+  Duration OnEvent(TimePoint aNow)
   {
-    bool paused = m_last && aNow - *m_last > m_limit;
+    Duration gap = m_last ? aNow - *m_last : Duration(0);
     m_last = aNow;
-    return paused;
+    return gap > m_limit ? gap : Duration(0);
   }
 
 private:
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/** A longer gap between two events is a pause of this process. */
+constexpr Duration kPauseLimit = Milliseconds(150);
 /** Time in which a server that works answers an opening packet. */
 constexpr Duration kOpeningAnswerLimit = Milliseconds(60);
 /** Time after which a busy flow no longer counts as load. */
@@ -26,6 +28,7 @@
   , m_serviceTag(ServiceTag(m_options.m_service))
   , m_start(aStart)
   , m_server(m_options.m_heartbeatEvery)
+  , m_pause(kPauseLimit)
   , m_flows(m_options.m_maxFlows)
   , m_denied(kMaxDenied)
   , m_nextPeriod(aStart + m_options.m_maxFlowAge)
@@ -83,6 +86,7 @@
                             PacketBytes aBytes,
                             uint32_t aBalancerIp)
 {
+  CountPause(aNow);
   if (aHeader.m_tag != m_serviceTag) {
     return GiveBack(HandBack::WrongService, aBalancerIp);
   }
@@ -176,6 +180,31 @@
   return verdict;
 }
 
+// What the server sent in the time of a pause may still wait to be read, so
+// its silence in that time tells nothing.
+void
+FlowAgent::CountPause(TimePoint aNow)
+{
+  Duration pause = m_pause.OnEvent(aNow);
+  if (pause == Duration(0)) {
+    return;
+  }
+  m_server.OnPause(pause);
+  for (OpeningEntry& opening : m_openings) {
+    opening.m_at += pause;
+  }
+  for (BusyEntry& entry : m_busyEntries) {
+    Flow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_busySince == entry.m_since) {
+      flow->m_busySince += pause;
+    }
+    entry.m_since += pause;
+  }
+  for (BusyEntry& entry : m_unconfirmed) {
+    entry.m_since += pause;
+  }
+}
+
 void
 FlowAgent::NoteAnswerTime(Duration aTime)
 {
@@ -321,6 +350,7 @@
 DueReports
 FlowAgent::OnTick(TimePoint aNow)
 {
+  CountPause(aNow);
   EndStuckFlows(aNow);
   EndUnconfirmed(aNow);
   if (aNow >= m_nextPeriod) {
@@ -388,6 +418,7 @@
 std::vector<UnansweredOpening>
 FlowAgent::TakeUnanswered(TimePoint aNow)
 {
+  CountPause(aNow);
   std::vector<UnansweredOpening> unanswered;
   while (!m_openings.empty() &&
          aNow - m_openings.front().m_at > kOpeningAnswerLimit) {
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -2,6 +2,7 @@
 
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
+#include "PauseDetector.h"
 #include "ServerTracker.h"
 
 #include <absl/container/inlined_vector.h>
@@ -166,6 +167,7 @@
     UnansweredOpening m_opening;
   };
 
+  void CountPause(TimePoint aNow);
   AgentVerdict OnOpening(TimePoint aNow,
                          const PacketHeader& aHeader,
                          PacketBytes aBytes,
@@ -188,6 +190,7 @@
   uint32_t m_serviceTag;
   TimePoint m_start;
   ServerTracker m_server;
+  PauseDetector m_pause;
   GenerationMap<FlowKey, Flow> m_flows;
   /** Flows that the server sent back; it does not have them. */
   GenerationMap<FlowKey, bool> m_denied;
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -15,7 +15,7 @@
 constexpr Duration kAnswerLimit = Milliseconds(30);
 /** Hand-backs after which a new flow waits for a slot. */
 constexpr uint8_t kTriesIfFree = 2;
-/** A longer gap between two ticks is a pause of this process. */
+/** A longer gap between two events is a pause of this process. */
 constexpr Duration kPauseLimit = Milliseconds(150);
 /** Time after which a list of agents from the store is known to be whole. */
 constexpr Duration kListSettles = Milliseconds(500);
@@ -28,6 +28,7 @@
   : m_agents(std::move(aDomain))
   , m_random(aSeed)
   , m_flows(kMaxFlows)
+  , m_pause(kPauseLimit)
 {
 }
 
@@ -94,6 +95,7 @@
                              PacketBytes aBytes)
 {
   m_steps.clear();
+  CountPause(aNow);
   FlowKey key = aHeader.FlowFromCaller();
   bool isAnswer = aHeader.Has(kSyn) && aHeader.Has(kAck);
   if (isAnswer || aHeader.Has(kBounced)) {
@@ -207,6 +209,7 @@
                            HandBack aReason)
 {
   m_steps.clear();
+  CountPause(aNow);
   FlowKey key = aHeader.FlowFromCaller();
   const Route* route = m_routes ? m_routes->Find(key.m_service) : nullptr;
   if (!route) {
@@ -303,6 +306,7 @@
                        const FlowAnswer& aAnswer)
 {
   m_steps.clear();
+  CountPause(aNow);
   auto found = m_searches.find(aAnswer.m_flow);
   if (found == m_searches.end()) {
     return m_steps;
@@ -378,13 +382,15 @@
   return m_agentsCurrentSince && aNow - *m_agentsCurrentSince > kListSettles;
 }
 
+// After a pause, packets from before it may come ahead of the first tick, and
+// the reports of that time behind them.
 void
 FlowBalancer::CountPause(TimePoint aNow)
 {
-  if (m_lastTick && aNow - *m_lastTick > kPauseLimit) {
-    m_agents.OnPause(aNow - *m_lastTick);
+  Duration pause = m_pause.OnEvent(aNow);
+  if (pause > Duration(0)) {
+    m_agents.OnPause(pause);
   }
-  m_lastTick = aNow;
 }
 
 const std::vector<BalancerStep>&
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -3,6 +3,7 @@
 #include "AgentList.h"
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
+#include "PauseDetector.h"
 #include "RouteTable.h"
 
 #include <array>
@@ -203,7 +204,7 @@
   LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
-  std::optional<TimePoint> m_lastTick;
+  PauseDetector m_pause;
   std::optional<TimePoint> m_lastHeardAny;
   /** Since when the list of agents is the newest one. */
   std::optional<TimePoint> m_agentsCurrentSince;
--- a/packages/flow/ServerTracker.cpp
+++ b/packages/flow/ServerTracker.cpp
@@ -55,6 +55,12 @@
   }
 }
 
+void
+ServerTracker::OnPause(Duration aPause)
+{
+  m_lastHeard += aPause;
+}
+
 ServerCondition
 ServerTracker::Condition(TimePoint aNow) const
 {
--- a/packages/flow/ServerTracker.h
+++ b/packages/flow/ServerTracker.h
@@ -54,6 +54,9 @@
   /** An opening packet was not answered. */
   void OnNoAnswer();
 
+  /** This process stood still; silence in that time tells nothing. */
+  void OnPause(Duration aPause);
+
   /** Any packet of the server arrived. */
   void OnPacket(TimePoint aNow);
 
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -304,6 +304,12 @@
 AgentDaemon::OnTick()
 {
   TimePoint now = FlowLoop::Now();
+  for (UnansweredOpening& opening : m_core.TakeUnanswered(now)) {
+    HandBackTo(opening.m_balancerIp,
+               HandBack::Silent,
+               { opening.m_bytes.data(), opening.m_bytes.size() });
+    m_journal.OnRefused(now, opening.m_flow, HandBack::Silent);
+  }
   ServerCondition condition = m_core.Condition(now);
   if (condition != m_loggedCondition) {
     Log(LogLevel::Info,
@@ -313,12 +319,6 @@
           { "busy", m_core.BusyFlows() } });
     m_loggedCondition = condition;
   }
-  for (UnansweredOpening& opening : m_core.TakeUnanswered(now)) {
-    HandBackTo(opening.m_balancerIp,
-               HandBack::Silent,
-               { opening.m_bytes.data(), opening.m_bytes.size() });
-    m_journal.OnRefused(now, opening.m_flow, HandBack::Silent);
-  }
   DueReports due = m_core.OnTick(now);
   m_control.SendToAll(due.m_reportTo, due.m_report);
   m_control.SendToAll(due.m_loadTo, due.m_load);
--- /dev/null
+++ b/test/correctness/Pauses.cpp
@@ -0,0 +1,118 @@
+#include "FlowAgent.h"
+#include "FlowBalancer.h"
+#include "PauseDetector.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+constexpr TimePoint kStart{ Seconds(100) };
+constexpr uint32_t kAgent = 0x0A010001;
+constexpr uint32_t kBalancer = 0x0A000001;
+const Endpoint kDesk{ 0xC6120001, 443 };
+const Endpoint kPackets{ kAgent, 8000 };
+
+PacketHeader
+Opening(uint16_t aPort)
+{
+  PacketHeader header;
+  header.m_source = { 0x64400001, aPort };
+  header.m_destination = kDesk;
+  header.m_flags = kSyn;
+  header.m_tag = ServiceTag("desk");
+  return header;
+}
+
+AgentReport
+ReadyReport()
+{
+  AgentReport report;
+  report.m_service = "desk";
+  report.m_domain = "a";
+  report.m_packets = kPackets;
+  report.m_load.m_condition = ServerCondition::Ready;
+  return report;
+}
+
+std::unique_ptr<FlowBalancer>
+BalancerWithAnAgent()
+{
+  auto balancer = std::make_unique<FlowBalancer>("a", 1);
+  auto routes = std::make_shared<RouteTable>();
+  routes->m_version = 1;
+  routes->m_routes[kDesk] = { "desk", kDesk, { { "desk", 1 } }, 1, {} };
+  balancer->SetRoutes(routes);
+  balancer->Agents().SetListed(kStart, 1, { { "desk", "a", kPackets } });
+  balancer->Agents().OnSubscribed(kAgent, ReportPace{});
+  balancer->Agents().OnReport(kStart, ReadyReport());
+  balancer->OnTick(kStart);
+  return balancer;
+}
+
+std::unique_ptr<FlowAgent>
+AgentWithAServer()
+{
+  FlowAgentOptions options;
+  options.m_service = "desk";
+  options.m_heartbeatEvery = Milliseconds(200);
+  auto agent = std::make_unique<FlowAgent>(options, kStart);
+  agent->OnHeartbeat(kStart, { "s", 1, 1, "desk", {}, 4, false, {} });
+  agent->OnTick(kStart);
+  return agent;
+}
+
+} // namespace
+
+// Callers' packets that came during the pause are read before its first tick,
+// and before the reports of that time.
+Test(Pauses, ABalancerThatStoodStillRefusesNoNewFlow)
+{
+  auto balancer = BalancerWithAnAgent();
+  TimePoint woken = kStart + Milliseconds(438);
+  const auto& steps = balancer->OnCallerPacket(woken, Opening(1), {});
+  cr_assert_eq(steps.size(), 1);
+  cr_assert(steps.front().m_action == FlowBalancerAction::Forward);
+}
+
+// The same silence without a pause means that the agent is gone.
+Test(Pauses, ABalancerThatRanRefusesWhenTheAgentIsSilent)
+{
+  auto balancer = BalancerWithAnAgent();
+  TimePoint now = kStart;
+  for (; now < kStart + Milliseconds(438); now += FlowBalancer::kTick) {
+    balancer->OnTick(now);
+  }
+  const auto& steps = balancer->OnCallerPacket(now, Opening(1), {});
+  cr_assert(steps.front().m_action == FlowBalancerAction::Reset);
+}
+
+Test(Pauses, AnAgentThatStoodStillDoesNotCallItsServerSilent)
+{
+  auto agent = AgentWithAServer();
+  agent->OnBalancerPacket(kStart, Opening(1), {}, kBalancer);
+  TimePoint woken = kStart + Seconds(3);
+  cr_assert(agent->TakeUnanswered(woken).empty());
+  cr_assert(agent->Condition(woken) == ServerCondition::Ready);
+}
+
+Test(Pauses, AnAgentThatStoodStillTakesNewFlows)
+{
+  auto agent = AgentWithAServer();
+  TimePoint woken = kStart + Seconds(3);
+  AgentVerdict verdict =
+    agent->OnBalancerPacket(woken, Opening(1), {}, kBalancer);
+  cr_assert(verdict.m_action == FlowAgentAction::Deliver);
+}
+
+Test(Pauses, AnOpeningThatStaysUnansweredAfterAPauseIsHandedBack)
+{
+  auto agent = AgentWithAServer();
+  agent->OnBalancerPacket(kStart, Opening(1), {}, kBalancer);
+  TimePoint now = kStart + Seconds(3);
+  agent->OnTick(now);
+  cr_assert(agent->TakeUnanswered(now).empty());
+  now += Milliseconds(100);
+  cr_assert_eq(agent->TakeUnanswered(now).size(), 1);
+}
