Add a fault soak of the packet path's real processes

FaultSoak starts the daemons with the stand-ins as separate processes on loopback, disturbs them in an order that a seed draws (kills, planned stops, pauses, drained servers, a store link that is slow, silent, one-way or reset, lost answers, dropped history, new configurations, reloads, loss and delay on callers' links), and checks: every flow answered, no request run twice, no process ended by itself, no configuration older than before, all ready with the newest at the end. It keeps to a bound of disturbed processes, so that every flow can be served. StoreLink is its TCP proxy before the store. Not disturbed yet: links between balancers and agents, killed servers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD := build
 SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cpp')
 
-.PHONY: deps build demo test soak bench capacity format check-format lint clean
+.PHONY: deps build demo test soak fault-soak bench capacity format check-format lint clean
 
 deps:
 	scripts/install-deps.sh
@@ -24,10 +24,17 @@
 soak: build
 	scripts/soak.sh $(BUILD)
 
-# Measures the policy against its bounds, beside a baseline; SEED chooses the
-# arrivals.
+# Disturbs the packet path's real processes from outside and checks the
+# promises; SEED is the first of SEEDS seeds.
 SEED ?= 1
+SEEDS ?= 50
+SECONDS_EACH ?= 8
+
+fault-soak: build
+	$(BUILD)/standins/FaultSoak --build=$(BUILD) --seed=$(SEED) --seeds=$(SEEDS) --seconds_each=$(SECONDS_EACH)
 
+# Measures the policy against its bounds, beside a baseline; SEED chooses the
+# arrivals.
 bench: build
 	$(BUILD)/test/performance/PolicyBench $(SEED)
 	$(BUILD)/test/performance/FlowCosts
--- a/standins/FlowCallers.cpp
+++ b/standins/FlowCallers.cpp
@@ -31,7 +31,10 @@
 {
   Result<void> opened = m_loop.Open(
     m_listen,
-    [this](auto aBytes, const Endpoint&) { OnPacket(aBytes); },
+    [this](auto aBytes, const Endpoint&) {
+      std::vector<uint8_t> bytes(aBytes.begin(), aBytes.end());
+      Travel([this, bytes]() mutable { OnPacket(bytes); });
+    },
     m_socket);
   if (!opened) {
     throw std::runtime_error(opened.error().m_detail);
@@ -142,7 +145,28 @@
   std::vector<uint8_t> bytes(head.begin(), head.end());
   bytes.resize(bytes.size() + header.m_length);
   size_t hash = aKey.m_caller.m_port * size_t{ 2654435761U } >> 8U;
-  m_socket->Send(bytes, m_targets[ready[hash % ready.size()]].m_packets);
+  Endpoint to = m_targets[ready[hash % ready.size()]].m_packets;
+  Travel([this, bytes, to] { m_socket->Send(bytes, to); });
+}
+
+void
+FlowCallers::SetTroubles(const LinkTroubles& aTroubles)
+{
+  m_loop.Post([this, aTroubles] { m_troubles = aTroubles; });
+}
+
+void
+FlowCallers::Travel(std::function<void()> aArrive)
+{
+  if (std::uniform_real_distribution<double>(0, 1)(m_random) <
+      m_troubles.m_loss) {
+    return;
+  }
+  if (m_troubles.m_delay.count() == 0) {
+    return aArrive();
+  }
+  std::uniform_int_distribution<int64_t> delay(0, m_troubles.m_delay.count());
+  m_loop.After(Milliseconds(delay(m_random)), std::move(aArrive));
 }
 
 void
@@ -195,6 +219,13 @@
   auto tookMs = static_cast<uint64_t>(ToMilliseconds(took));
   m_tally.m_slowestMs = std::max(m_tally.m_slowestMs, tookMs);
   m_tally.*aCount += 1;
+  if (aCount != &FlowTally::m_answered) {
+    const char* end = aCount == &FlowTally::m_refused  ? "refused"
+                      : aCount == &FlowTally::m_broken ? "broken"
+                                                       : "silent";
+    m_failed.push_back(
+      { ToText(aKey), end, m_flows[aKey].m_startedAt, FlowLoop::Now() });
+  }
   m_flows.erase(aKey);
   m_openCount -= 1;
 }
--- a/standins/FlowCallers.h
+++ b/standins/FlowCallers.h
@@ -25,6 +25,24 @@
   uint64_t m_slowestMs = 0;
 };
 
+/** A flow that was not answered. */
+struct FailedFlow
+{
+  std::string m_flow;
+  std::string m_end;
+  TimePoint m_startedAt;
+  TimePoint m_endedAt;
+};
+
+/** What callers' links do to datagrams, either way. */
+struct LinkTroubles
+{
+  /** Part of the datagrams that are lost. */
+  double m_loss = 0;
+  /** Each datagram is held for up to this time, so that they overtake. */
+  Milliseconds m_delay{ 0 };
+};
+
 /** A balancer as the fabric knows it. */
 struct FabricTarget
 {
@@ -50,6 +68,11 @@
   /** Opens a flow every aGap until Stop. */
   void Start(Duration aGap);
 
+  void SetTroubles(const LinkTroubles& aTroubles);
+
+  /** Flows that were not answered; to be called after Stop. */
+  const std::vector<FailedFlow>& Failed() const { return m_failed; }
+
   /** Waits for the flows that are open, then tells how all ended. */
   FlowTally Stop();
 
@@ -67,6 +90,8 @@
   void OpenFlow();
   void Send(const FlowKey& aKey, Flow& aFlow);
   void Repeat(const FlowKey& aKey, Duration aAfter);
+  /** Runs a function when a datagram gets through, or never. */
+  void Travel(std::function<void()> aArrive);
   void OnPacket(std::span<uint8_t> aBytes);
   void End(const FlowKey& aKey, uint64_t FlowTally::*aCount);
 
@@ -79,6 +104,8 @@
   std::map<FlowKey, Flow> m_flows;
   std::vector<int> m_misses;
   FlowTally m_tally;
+  LinkTroubles m_troubles;
+  std::vector<FailedFlow> m_failed;
   std::atomic<size_t> m_readyCount{ 0 };
   std::atomic<size_t> m_openCount{ 0 };
   std::atomic<bool> m_isStarting{ false };
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -1,5 +1,6 @@
 #include "FlowCluster.h"
 
+#include "AgentEntryCodec.h"
 #include "HttpPaths.h"
 #include "KeyedStore.h"
 #include "OperatorConfig.h"
@@ -7,6 +8,7 @@
 #include <fstream>
 #include <future>
 #include <random>
+#include <set>
 
 namespace bilberryfield {
 
@@ -118,7 +120,7 @@
                               { "packet_listen", at(kPackets) },
                               { "admin_listen", at(kAdmin) },
                               { "metrics_listen", at(kMetrics) },
-                              { "platform", m_storeAddress },
+                              { "platform", ToText(m_link->Where()) },
                               { "control_port", m_port + kControl },
                               { "hand_back_port", m_port + kHandBack } };
   if (aRole == NameOf(kFlowRoleNames, FlowRole::Agent)) {
@@ -134,6 +136,7 @@
         Endpoint{ kBalancerNet + i, static_cast<uint16_t>(m_port + kAdmin) }));
     }
     settings["seeds"] = seeds;
+    settings["stale_entry_ms"] = m_staleEntryAfter.count();
   }
   return settings.dump(2);
 }
@@ -156,6 +159,7 @@
   }
   uint16_t port = nlohmann::json::parse(*line).at("ports").at(0);
   m_storeAddress = "127.0.0.1:" + std::to_string(port);
+  m_link.emplace(Endpoint{ INADDR_LOOPBACK, port });
   StoreRoutes({ { "desk", Service(), { { "desk", 1 } }, 1, {} } });
   for (size_t i = 0; i < m_agents.size(); ++i) {
     StartAgent(i);
@@ -175,30 +179,119 @@
     table.m_routes[route.m_address] = route;
   }
   nlohmann::json content = EncodeOperatorConfig(table);
+  // An answer may be lost, so the write is repeated; it has the same effect.
+  constexpr int kTries = 20;
+  for (int i = 0; i < kTries; ++i) {
+    if (StoreConfiguration(content, m_version == 1 && i == 0)) {
+      return;
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+  }
+  throw std::runtime_error("the configuration was not stored");
+}
+
+bool
+FlowCluster::StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst)
+{
   StoreClient store(m_storeAddress);
   std::promise<bool> stored;
   auto onEnd = [&](const Result<StoreWrite>& aWrite) {
     stored.set_value(aWrite && aWrite->m_end == StoreWrite::End::Stored);
   };
-  if (m_version == 1) {
-    store.Create(kConfigKind, kConfigName, content, onEnd);
+  if (aIsFirst) {
+    store.Create(kConfigKind, kConfigName, aContent, onEnd);
   } else {
-    store.Replace(kConfigKind, kConfigName, content, 0, onEnd);
-  }
-  if (!stored.get_future().get()) {
-    throw std::runtime_error("the configuration was not stored");
+    store.Replace(kConfigKind, kConfigName, aContent, 0, onEnd);
   }
+  return stored.get_future().get();
 }
 
 void
 FlowCluster::SetStoreOutage(bool aIsOut)
+{
+  DisturbStore(aIsOut ? "outage=1" : "outage=0");
+}
+
+void
+FlowCluster::DisturbStore(const std::string& aFault)
 {
   HttpCall call;
   call.m_host = m_storeAddress;
-  call.m_path = std::string("/faults?outage=") + (aIsOut ? "1" : "0");
+  call.m_path = "/faults?" + aFault;
   m_client.SendAndWait(call);
 }
 
+std::optional<nlohmann::json>
+FlowCluster::StatusOf(size_t aBalancer)
+{
+  HttpCall call;
+  call.m_host =
+    ToText(Endpoint{ kBalancerNet + static_cast<uint32_t>(aBalancer),
+                     static_cast<uint16_t>(m_port + kAdmin) });
+  call.m_path = "/status";
+  call.m_timeout = Milliseconds(500);
+  HttpResult result = m_client.SendAndWait(call);
+  if (result.m_end != HttpEnd::Answered) {
+    return std::nullopt;
+  }
+  nlohmann::json status = nlohmann::json::parse(result.m_body, nullptr, false);
+  return status.is_discarded() ? std::nullopt : std::optional(status);
+}
+
+std::vector<std::string>
+FlowCluster::EndedByThemselves()
+{
+  std::vector<std::string> ended;
+  auto look = [&](const std::string& aRole,
+                  std::vector<std::optional<Process>>& aProcesses) {
+    for (size_t i = 0; i < aProcesses.size(); ++i) {
+      if (aProcesses[i]->IsRunning() && aProcesses[i]->HasEnded()) {
+        ended.push_back(aRole + "-" + std::to_string(i));
+      }
+    }
+  };
+  look("balancer", m_balancers);
+  look("agent", m_agents);
+  return ended;
+}
+
+std::vector<std::string>
+FlowCluster::ListedAgents() const
+{
+  StoreClient store(m_storeAddress);
+  std::promise<std::vector<std::string>> names;
+  store.List(kAgentKind, [&](const Result<StoreListing>& aListing) {
+    std::vector<std::string> found;
+    if (aListing) {
+      for (const auto& object : aListing->m_objects) {
+        found.push_back(object.m_name);
+      }
+    }
+    names.set_value(std::move(found));
+  });
+  return names.get_future().get();
+}
+
+std::vector<std::string>
+FlowCluster::RunTwice() const
+{
+  std::vector<std::string> twice;
+  std::set<std::string> seen;
+  for (const auto& entry : std::filesystem::directory_iterator(m_folder)) {
+    if (!entry.path().filename().string().starts_with("server-")) {
+      continue;
+    }
+    std::ifstream log(entry.path());
+    std::string line;
+    while (std::getline(log, line)) {
+      if (line.starts_with("ran ") && !seen.insert(line).second) {
+        twice.push_back(line);
+      }
+    }
+  }
+  return twice;
+}
+
 void
 FlowCluster::StartBalancer(size_t aIndex)
 {
@@ -230,7 +323,10 @@
     return ToText(Endpoint{ kServerNet + static_cast<uint32_t>(aIndex),
                             static_cast<uint16_t>(m_port + aOffset) });
   };
-  m_servers[aIndex] = Run("server-" + std::to_string(aIndex),
+  // A log of its own for each start, since RunTwice reads all of them.
+  std::string name =
+    "server-" + std::to_string(aIndex) + "-" + std::to_string(m_serverStarts++);
+  m_servers[aIndex] = Run(name,
                           { m_build + "/standins/FlowServerStandIn",
                             "--listen=" + at(kApp),
                             "--outbound=" + at(kOutbound),
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -4,6 +4,7 @@
 #include "FlowSettings.h"
 #include "Process.h"
 #include "RouteTable.h"
+#include "StoreLink.h"
 
 #include <filesystem>
 
@@ -36,6 +37,25 @@
   void StartAgent(size_t aIndex);
   void StartServer(size_t aIndex);
 
+  /** The link between the store and the daemons. */
+  StoreLink& Link() { return *m_link; }
+  /** Has the store do something to itself, for example "lost=2". */
+  void DisturbStore(const std::string& aFault);
+
+  /** Programs of the product that ended though nobody ended them. */
+  std::vector<std::string> EndedByThemselves();
+  /** What a balancer tells of itself; nothing when it does not answer. */
+  std::optional<nlohmann::json> StatusOf(size_t aBalancer);
+  /** Version of the configuration that was stored last. */
+  uint64_t RoutesVersion() const { return m_version; }
+  /** Names of the agents that the store lists. */
+  std::vector<std::string> ListedAgents() const;
+  /** Silence after which balancers remove an entry; to be set before Start. */
+  Milliseconds m_staleEntryAfter{ 600'000 };
+  /** Requests that servers ran more than once, by their flows. */
+  std::vector<std::string> RunTwice() const;
+
+  /** Address of the store itself, past the link. */
   const std::string& StoreAddress() const { return m_storeAddress; }
   std::vector<FabricTarget> Targets() const;
   /** Where callers of this cluster take packets. */
@@ -46,6 +66,7 @@
 private:
   Process Run(const std::string& aName,
               const std::vector<std::string>& aCommand);
+  bool StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst);
   std::string WriteSettings(const std::string& aName, const std::string& aText);
   std::string SettingsText(const std::string& aName,
                            const char* aRole,
@@ -56,8 +77,10 @@
   uint16_t m_port = 0;
   std::string m_storeAddress;
   uint64_t m_version = 0;
+  int m_serverStarts = 0;
   HttpClient m_client;
   std::optional<Process> m_store;
+  std::optional<StoreLink> m_link;
   std::vector<std::optional<Process>> m_balancers;
   std::vector<std::optional<Process>> m_agents;
   std::vector<std::optional<Process>> m_servers;
--- a/standins/FlowServerStandIn.cpp
+++ b/standins/FlowServerStandIn.cpp
@@ -151,6 +151,7 @@
       FlowKey key = m_waiting.front();
       m_waiting.pop_front();
       m_running += 1;
+      std::cout << "ran " << ToText(key) << std::endl;
       m_loop.After(Milliseconds(absl::GetFlag(FLAGS_work_ms)), [this, key] {
         m_running -= 1;
         m_held[key].m_isAnswered = true;
--- a/standins/Process.cpp
+++ b/standins/Process.cpp
@@ -114,6 +114,15 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool
+Process::HasEnded() const
+{
+  siginfo_t info{};
+  int failed =
+    waitid(P_PID, static_cast<id_t>(m_pid), &info, WEXITED | WNOHANG | WNOWAIT);
+  return failed == 0 && info.si_pid == m_pid;
+}
+
 void
 Process::Kill()
 {
--- a/standins/Process.h
+++ b/standins/Process.h
@@ -35,8 +35,12 @@
   /** The first line of the log file that contains a text, once there is one. */
   std::optional<std::string> WaitForLine(const std::string& aText) const;
 
+  /** False once this launcher has ended the program. */
   bool IsRunning() const { return m_pid > 0; }
 
+  /** True when the program has ended by itself; Wait tells how. */
+  bool HasEnded() const;
+
   /** Ends every program still running, also where no destructor will run. */
   static void KillAll();
 
--- /dev/null
+++ b/test/process/FaultSoak.cpp
@@ -0,0 +1,39 @@
+#include "Process.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+TestSuite(FaultSoak, .fini = Process::KillAll);
+
+namespace {
+
+// Ends with 0 when no promise was broken.
+int
+EndOfSeed(uint64_t aSeed)
+{
+  const char* build = std::getenv("BILBERRY_BUILD");
+  std::string folder = build ? build : "build";
+  std::string log = folder + "/fault-soak-" + std::to_string(aSeed) + ".log";
+  Result<Process> soak = Process::Start({ folder + "/standins/FaultSoak",
+                                          "--build=" + folder,
+                                          "--seed=" + std::to_string(aSeed) },
+                                        log);
+  cr_assert(soak.has_value());
+  return soak->Wait();
+}
+
+} // namespace
+
+// Failed: a balancer that had stood still refused all new flows until its
+// first tick.
+Test(FaultSoak, Seed1)
+{
+  cr_assert_eq(EndOfSeed(1), 0);
+}
+
+// Failed as seed 1, with one flow in the first milliseconds.
+Test(FaultSoak, Seed3)
+{
+  cr_assert_eq(EndOfSeed(3), 0);
+}
