Remove the entries of dead VMs from the store

Cause: an agent whose VM dies cannot remove its entry, and nobody else did, so that every balancer went on subscribing to it for ever. Change: a balancer that hears other agents removes the entry of one that it has not heard for stale_entry_ms (10 minutes), at a random moment so that the others learn of it first. A wrong removal costs one write: an agent that is heard but not listed stores its entry again, and one that no balancer has asked for 10 s looks after its entry by itself. Tests: StaleEntries, 2, Listening::AnAgentThatNobodyAsksLooksAtItsEntry.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -143,6 +143,7 @@
 AgentList::OnPause(Duration aPause)
 {
   for (auto& [ip, agent] : m_agents) {
+    agent.m_knownSince += aPause;
     if (agent.m_heardAt) {
       *agent.m_heardAt += aPause;
     }
@@ -227,6 +228,23 @@
   return found == m_agents.end() ? nullptr : &found->second;
 }
 
+// A balancer that hears nobody is cut off itself.
+std::vector<uint32_t>
+AgentList::ListedButSilent(TimePoint aNow, Duration aFor) const
+{
+  std::vector<uint32_t> silent;
+  if (!HearsAny(aNow)) {
+    return silent;
+  }
+  for (const auto& [ip, agent] : m_agents) {
+    TimePoint last = agent.m_heardAt.value_or(agent.m_knownSince);
+    if (agent.m_isListed && aNow - last > aFor) {
+      silent.push_back(ip);
+    }
+  }
+  return silent;
+}
+
 bool
 AgentList::HearsAny(TimePoint aNow) const
 {
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -94,6 +94,9 @@
   const KnownAgent* Find(uint32_t aAgentIp) const;
   const std::map<uint32_t, KnownAgent>& All() const { return m_agents; }
 
+  /** Listed agents that were not heard for a time, if others are heard. */
+  std::vector<uint32_t> ListedButSilent(TimePoint aNow, Duration aFor) const;
+
   /** True while some agent is heard. */
   bool HearsAny(TimePoint aNow) const;
 
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kConfirmLimit = Milliseconds(120);
 /** Bytes that an acknowledgement may be ahead of the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
+/** Time without any balancer's subscription after which the agent's entry in
+ * the store is looked at. */
+constexpr Duration kUnheardLimit = Seconds(10);
 /** Flows that are remembered as not being at the server. */
 constexpr size_t kMaxDenied = 10'000;
 /** Weight of a new sample in the mean answer time. */
@@ -32,6 +35,7 @@
   , m_flows(m_options.m_maxFlows)
   , m_denied(kMaxDenied)
   , m_nextPeriod(aStart + m_options.m_maxFlowAge)
+  , m_lastSubscribed(aStart)
 {
 }
 
@@ -274,6 +278,7 @@
                        const Subscribe& aMessage)
 {
   Subscriber& subscriber = m_subscribers[aBalancerIp];
+  m_lastSubscribed = aNow;
   subscriber.m_heardAt = aNow;
   subscriber.m_pace = aMessage.m_pace;
   subscriber.m_knowsAgent = aMessage.m_knownTag == m_serviceTag;
@@ -361,6 +366,10 @@
   std::erase_if(m_subscribers, [&](const auto& aItem) {
     return aNow - aItem.second.m_heardAt > aItem.second.m_pace.m_life;
   });
+  if (aNow - m_lastSubscribed > kUnheardLimit) {
+    m_lastSubscribed = aNow;
+    m_isMissedInStore = true;
+  }
   DueReports reports;
   reports.m_load = CurrentLoad(aNow);
   for (auto& [ip, subscriber] : m_subscribers) {
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -107,7 +107,8 @@
 
   TaggedLoad Load() const;
 
-  /** True when a balancer that reads the store misses this agent there. */
+  /** True when a balancer that reads the store misses this agent there, or
+   * when no balancer asks for reports. */
   bool IsMissedInStore() const { return m_isMissedInStore; }
   void ClearMissedInStore() { m_isMissedInStore = false; }
 
@@ -210,6 +211,8 @@
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
   bool m_isMissedInStore = false;
+  /** When a balancer last asked for reports, or the lack of one was noted. */
+  TimePoint m_lastSubscribed;
 };
 
 } // namespace bilberryfield
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -115,6 +115,7 @@
   m_loop.Every(kAskPeersEvery, [this] { AskPeers(); });
   m_loop.Every(ListeningPlan::kTick, [this] { SubscribeToAgents(); });
   m_loop.Every(Seconds(1), LogWhatWasLeftOut);
+  m_loop.After(m_settings.m_staleEntryAfter, [this] { RemoveStaleEntries(); });
   m_routesFollower.Start();
   m_agentsFollower.Start();
   return {};
@@ -436,6 +437,31 @@
   }
 }
 
+// The entry of a VM that died stays behind. An agent that others still hear
+// stores its entry again, so a wrong removal costs one write.
+void
+BalancerDaemon::RemoveStaleEntries()
+{
+  // All balancers see the same silence; the first of them removes the entry
+  // and the others learn of that before their turn.
+  std::uniform_int_distribution<int64_t> any(
+    1, m_settings.m_staleEntryAfter.count());
+  m_loop.After(Milliseconds(any(m_random)), [this] { RemoveStaleEntries(); });
+  if (!m_agentsFollower.IsConnected()) {
+    return;
+  }
+  for (uint32_t ip : m_core.Agents().ListedButSilent(
+         FlowLoop::Now(), m_settings.m_staleEntryAfter)) {
+    m_store.Remove(
+      kAgentKind, IpToText(ip), [ip](const Result<StoreWrite>& aWrite) {
+        Log(aWrite ? LogLevel::Info : LogLevel::Warning,
+            "stale-entry-removed",
+            { { "agent", IpToText(ip) },
+              { "detail", aWrite ? "" : aWrite.error().m_detail } });
+      });
+  }
+}
+
 void
 BalancerDaemon::BeginShutdown()
 {
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -47,6 +47,7 @@
   HttpOutgoing Metrics() const;
   void OnTick();
   void SubscribeToAgents();
+  void RemoveStaleEntries();
   void ContinueShutdown();
 
   FlowSettings m_settings;
@@ -69,6 +70,7 @@
   FlowLoop::Socket* m_handBack = nullptr;
   std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
   uint64_t m_malformed = 0;
+  std::mt19937_64 m_random{ std::random_device{}() };
   std::atomic<bool> m_isReady{ false };
   std::optional<TimePoint> m_stoppingSince;
   TimePoint m_lastCallerPacket;
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -100,6 +100,8 @@
   } else {
     settings.m_readinessListen = ReadEndpoint(fields, "readiness_listen");
     settings.m_seeds = ReadSeeds(fields);
+    settings.m_staleEntryAfter =
+      ReadTime(fields, "stale_entry_ms", settings.m_staleEntryAfter);
   }
   fields.RejectUnknownKeys();
   if (!mistakes.empty()) {
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -47,6 +47,8 @@
   Endpoint m_readinessListen;
   /** Balancer: admin addresses of other balancers. */
   std::vector<Endpoint> m_seeds;
+  /** Balancer: silence after which an agent's entry leaves the store. */
+  Milliseconds m_staleEntryAfter{ 600'000 };
   /** Agent: packets that the server sends. */
   Endpoint m_serverListen;
   /** Agent: where the server takes packets. */
--- a/test/correctness/Listening.cpp
+++ b/test/correctness/Listening.cpp
@@ -222,3 +222,13 @@
   agents.OnLoad(kStart, kFirstAgent, load);
   cr_assert_not(agents.Find(kFirstAgent)->m_heardAt.has_value());
 }
+
+// Its entry may have been removed while it stood still.
+Test(Listening, AnAgentThatNobodyAsksLooksAtItsEntry)
+{
+  FlowAgent agent(DeskAgent(), kStart);
+  agent.OnTick(kStart + Seconds(9));
+  cr_assert_not(agent.IsMissedInStore());
+  agent.OnTick(kStart + Seconds(11));
+  cr_assert(agent.IsMissedInStore());
+}
--- /dev/null
+++ b/test/process/StaleEntries.cpp
@@ -0,0 +1,56 @@
+#include "FlowCluster.h"
+
+#include <criterion/criterion.h>
+#include <csignal>
+
+using namespace bilberryfield;
+
+TestSuite(StaleEntries, .fini = Process::KillAll);
+
+namespace {
+
+constexpr Milliseconds kStaleAfter{ 1500 };
+
+std::unique_ptr<FlowCluster>
+StartCluster()
+{
+  const char* build = std::getenv("BILBERRY_BUILD");
+  auto cluster = std::make_unique<FlowCluster>(build ? build : "build", 2, 3);
+  cluster->m_staleEntryAfter = kStaleAfter;
+  cluster->Start();
+  return cluster;
+}
+
+bool
+IsListedWithin(const FlowCluster& aCluster, size_t aCount, Duration aTime)
+{
+  TimePoint end = FlowLoop::Now() + aTime;
+  while (FlowLoop::Now() < end) {
+    if (aCluster.ListedAgents().size() == aCount) {
+      return true;
+    }
+    std::this_thread::sleep_for(Milliseconds(50));
+  }
+  return false;
+}
+
+} // namespace
+
+Test(StaleEntries, TheEntryOfADeadVmLeavesTheStore)
+{
+  auto cluster = StartCluster();
+  cr_assert(IsListedWithin(*cluster, 3, Seconds(5)));
+  cluster->Agent(1).Kill();
+  cluster->Server(1).Kill();
+  cr_assert(IsListedWithin(*cluster, 2, 4 * kStaleAfter));
+}
+
+Test(StaleEntries, AnEntryThatWasRemovedByMistakeComesBack)
+{
+  auto cluster = StartCluster();
+  cr_assert(IsListedWithin(*cluster, 3, Seconds(5)));
+  cluster->Agent(1).Signal(SIGSTOP);
+  cr_assert(IsListedWithin(*cluster, 2, 4 * kStaleAfter));
+  cluster->Agent(1).Signal(SIGCONT);
+  cr_assert(IsListedWithin(*cluster, 3, 4 * kStaleAfter));
+}
