Search for unknown flows with bounded questions, and take late answers

On the balancers with 0.038 cores every packet of an unknown flow asked some 50 agents; answers took over 400 ms, were thrown away after 30 ms, and the flow's next packet asked all again: 6,301 drops 'unowned' in 10 s, 4,000 to 8,000 questions a second on each thin balancer, which then lost agents' reports and was not ready for moments, so that the fabric moved flows to others, which asked again. Agents that cannot tell made it worse: each try that a server sent back began a new search among all the others. Ruled out: routes and agent lists (24 routes and 77 agents everywhere), servers (full ones handed back, 5,074, and were placed again). Change: FlowSearches, taken out of FlowBalancer. Answers count for 1 s; agents that have not answered are asked once more after 250 ms; agents that cannot tell are tried one after the other within the same search; 3,000 answers at most are awaited. One question is encoded and logged for all agents. Tests: FlowSearch, 5; LostFlows::AskEachAgentOnceForEachPacket. Not run against the old code, whose interface they do not fit.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -7,12 +7,6 @@
 namespace {
 
 constexpr size_t kMaxFlows = 500'000;
-/** Flows that may be searched for at a time. */
-constexpr size_t kMaxSearches = 2'000;
-/** Packets held for one flow that is searched for. */
-constexpr size_t kMaxHeld = 4;
-/** Time after which a search goes on without the missing answers. */
-constexpr Duration kAnswerLimit = Milliseconds(30);
 /** Hand-backs after which a new flow waits for a slot. */
 constexpr uint8_t kTriesIfFree = 2;
 /** A longer gap between two events is a pause of this process. */
@@ -221,7 +215,11 @@
     if (flow && flow->m_agentIp == aAgentIp) {
       flow->m_agentIp = 0;
     }
-    SearchFor(aNow, aHeader, aBytes, *route, aAgentIp);
+    if (m_searches.Contains(key)) {
+      Follow(aNow, m_searches.OnReturned(aNow, key, aAgentIp, aBytes));
+    } else {
+      SearchFor(aNow, aHeader, aBytes, *route, aAgentIp);
+    }
     return m_steps;
   }
   m_agents.OnHandBack(
@@ -244,10 +242,14 @@
   return m_steps;
 }
 
-std::vector<uint32_t>
-FlowBalancer::AgentsToAsk(const Route& aRoute, uint32_t aExceptIp) const
+SearchScope
+FlowBalancer::ScopeOf(TimePoint aNow,
+                      const Route& aRoute,
+                      uint32_t aExceptIp) const
 {
-  std::vector<uint32_t> agents;
+  SearchScope scope;
+  scope.m_isWhole = IsAgentListWhole(aNow);
+  std::vector<uint32_t>& agents = scope.m_agents;
   auto add = [&](const std::string& aService) {
     for (uint32_t ip : m_agents.AgentsOf(aService)) {
       if (ip != aExceptIp &&
@@ -265,7 +267,7 @@
       add(service);
     }
   }
-  return agents;
+  return scope;
 }
 
 void
@@ -276,27 +278,52 @@
                         uint32_t aExceptIp)
 {
   FlowKey key = aHeader.FlowFromCaller();
-  std::vector<uint8_t> held(aBytes.begin(), aBytes.end());
-  if (auto found = m_searches.find(key); found != m_searches.end()) {
-    if (found->second.m_held.size() < kMaxHeld) {
-      found->second.m_held.push_back(std::move(held));
-    }
-    return;
+  if (m_searches.Contains(key)) {
+    return m_searches.Hold(key, aBytes);
   }
-  if (m_searches.size() >= kMaxSearches) {
-    Add(FlowBalancerAction::Drop, FlowReason::TooManyHeld, key);
-    return;
+  std::optional<SearchStep> step = m_searches.Start(
+    aNow, key, aHeader.m_ack, aBytes, ScopeOf(aNow, aRoute, aExceptIp));
+  if (!step) {
+    return Add(FlowBalancerAction::Drop, FlowReason::TooManyHeld, key);
   }
-  std::vector<uint32_t> agents = AgentsToAsk(aRoute, aExceptIp);
-  Search& search = m_searches[key];
-  search.m_startedAt = aNow;
-  search.m_held.push_back(std::move(held));
-  search.m_ack = aHeader.m_ack;
-  search.m_isWhole = IsAgentListWhole(aNow);
-  search.m_unanswered = agents;
-  for (uint32_t ip : agents) {
-    Add(FlowBalancerAction::Query, FlowReason::Searched, key, aHeader.m_ack);
-    m_steps.back().m_agentIp = ip;
+  Follow(aNow, std::move(*step));
+}
+
+// A flow that every agent denies is lost, and its caller need not wait for its
+// own timeout.
+void
+FlowBalancer::Follow(TimePoint aNow, SearchStep aStep)
+{
+  switch (aStep.m_move) {
+    case SearchMove::Wait:
+      return;
+    case SearchMove::Ask:
+      Add(FlowBalancerAction::Query,
+          FlowReason::Searched,
+          aStep.m_flow,
+          aStep.m_ack);
+      m_steps.back().m_ask = std::move(aStep.m_ask);
+      return;
+    case SearchMove::Lost:
+      return Add(IsAgentListWhole(aNow) ? FlowBalancerAction::Reset
+                                        : FlowBalancerAction::Drop,
+                 FlowReason::Unowned,
+                 aStep.m_flow,
+                 aStep.m_ack);
+    case SearchMove::GiveUp:
+      return Add(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
+    case SearchMove::Found:
+    case SearchMove::Try:
+      break;
+  }
+  bool isFound = aStep.m_move == SearchMove::Found;
+  m_searchTimes.Add(aStep.m_took);
+  m_flows.Insert(aStep.m_flow, { aStep.m_agentIp, 0, false, 0, {} });
+  for (std::vector<uint8_t>& packet : aStep.m_held) {
+    Forward(aStep.m_flow,
+            aStep.m_agentIp,
+            isFound ? FlowReason::Found : FlowReason::Tried);
+    m_steps.back().m_held = std::move(packet);
   }
 }
 
@@ -307,63 +334,10 @@
 {
   m_steps.clear();
   CountPause(aNow);
-  auto found = m_searches.find(aAnswer.m_flow);
-  if (found == m_searches.end()) {
-    return m_steps;
-  }
-  Search& search = found->second;
-  std::erase(search.m_unanswered, aAgentIp);
-  if (aAnswer.m_ownership == FlowOwnership::Yes) {
-    EndSearch(aNow, aAnswer.m_flow, aAgentIp, FlowReason::Found);
-    return m_steps;
-  }
-  if (aAnswer.m_ownership == FlowOwnership::Possible) {
-    search.m_possible.push_back(aAgentIp);
-  }
-  if (search.m_unanswered.empty()) {
-    TryPossible(aNow, aAnswer.m_flow, search);
-  }
+  Follow(aNow, m_searches.OnAnswer(aNow, aAgentIp, aAnswer));
   return m_steps;
 }
 
-// An agent that may have the flow gets its packets; if its server sends them
-// back, the next search asks the others. A flow that every agent denies is
-// lost, and its caller need not wait for its own timeout.
-void
-FlowBalancer::TryPossible(TimePoint aNow, const FlowKey& aFlow, Search& aSearch)
-{
-  if (aSearch.m_possible.empty()) {
-    bool isLost = aSearch.m_unanswered.empty() && aSearch.m_isWhole &&
-                  IsAgentListWhole(aNow);
-    uint32_t ack = aSearch.m_ack;
-    m_searches.erase(aFlow);
-    Add(isLost ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
-        FlowReason::Unowned,
-        aFlow,
-        ack);
-    return;
-  }
-  std::uniform_int_distribution<size_t> any(0, aSearch.m_possible.size() - 1);
-  EndSearch(aNow, aFlow, aSearch.m_possible[any(m_random)], FlowReason::Tried);
-}
-
-void
-FlowBalancer::EndSearch(TimePoint aNow,
-                        const FlowKey& aFlow,
-                        uint32_t aAgentIp,
-                        FlowReason aReason)
-{
-  auto found = m_searches.find(aFlow);
-  m_searchTimes.Add(aNow - found->second.m_startedAt);
-  std::vector<std::vector<uint8_t>> held = std::move(found->second.m_held);
-  m_searches.erase(found);
-  m_flows.Insert(aFlow, { aAgentIp, 0, false, 0, {} });
-  for (std::vector<uint8_t>& packet : held) {
-    Forward(aFlow, aAgentIp, aReason);
-    m_steps.back().m_held = std::move(packet);
-  }
-}
-
 void
 FlowBalancer::SetAgentsCurrent(TimePoint aNow, bool aAreCurrent)
 {
@@ -406,14 +380,8 @@
     m_nextPeriod = aNow + m_routes->m_flowIdleLimit;
     m_flows.EndPeriod();
   }
-  std::vector<FlowKey> late;
-  for (const auto& [key, search] : m_searches) {
-    if (aNow - search.m_startedAt > kAnswerLimit) {
-      late.push_back(key);
-    }
-  }
-  for (const FlowKey& key : late) {
-    TryPossible(aNow, key, m_searches[key]);
+  for (SearchStep& step : m_searches.OnTick(aNow)) {
+    Follow(aNow, std::move(step));
   }
   return m_steps;
 }
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AgentList.h"
+#include "FlowSearches.h"
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
@@ -15,7 +16,7 @@
 {
   Forward, /**< To an agent. */
   Reset,   /**< Tell the caller that the flow is refused or lost. */
-  Query,   /**< Ask an agent whether it has the flow. */
+  Query,   /**< Ask agents whether they have the flow. */
   Drop,
 };
 
@@ -65,8 +66,10 @@
   FlowBalancerAction m_action = FlowBalancerAction::Drop;
   FlowReason m_reason = FlowReason::Known;
   FlowKey m_flow;
-  /** Agent to forward to or to ask. */
+  /** Agent to forward to. */
   uint32_t m_agentIp = 0;
+  /** Agents to ask. */
+  std::vector<uint32_t> m_ask;
   Endpoint m_packets;
   uint32_t m_tag = 0;
   uint32_t m_mark = 0;
@@ -148,20 +151,6 @@
     std::array<uint32_t, kMaxTries> m_tried{};
   };
 
-  /** Packets that wait until their flow's agent is found. */
-  struct Search
-  {
-    TimePoint m_startedAt;
-    std::vector<std::vector<uint8_t>> m_held;
-    std::vector<uint32_t> m_possible;
-    /** Agents that have not answered yet. */
-    std::vector<uint32_t> m_unanswered;
-    /** The caller's acknowledgement number, for a reset. */
-    uint32_t m_ack = 0;
-    /** The agents asked are all that the flow can be at. */
-    bool m_isWhole = false;
-  };
-
   /** What the last step was decided on, for the log. */
   void NoteInputs(TimePoint aNow,
                   const PlacementCandidate& aChosen,
@@ -179,13 +168,11 @@
                  PacketBytes aBytes,
                  const Route& aRoute,
                  uint32_t aExceptIp);
-  std::vector<uint32_t> AgentsToAsk(const Route& aRoute,
-                                    uint32_t aExceptIp) const;
-  void EndSearch(TimePoint aNow,
-                 const FlowKey& aFlow,
-                 uint32_t aAgentIp,
-                 FlowReason aReason);
-  void TryPossible(TimePoint aNow, const FlowKey& aFlow, Search& aSearch);
+  /** Agents that may have a flow of a route. */
+  SearchScope ScopeOf(TimePoint aNow,
+                      const Route& aRoute,
+                      uint32_t aExceptIp) const;
+  void Follow(TimePoint aNow, SearchStep aStep);
   bool IsAgentListWhole(TimePoint aNow) const;
   void Forward(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
   void Add(FlowBalancerAction aAction,
@@ -200,7 +187,7 @@
   /** Services that an address led to before, by address. */
   absl::flat_hash_map<Endpoint, std::vector<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
-  absl::flat_hash_map<FlowKey, Search> m_searches;
+  FlowSearches m_searches;
   LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
--- /dev/null
+++ b/packages/flow/FlowSearches.cpp
@@ -0,0 +1,208 @@
+#include "FlowSearches.h"
+
+#include <algorithm>
+
+namespace bilberryfield {
+
+namespace {
+
+/** Flows that may be searched for at a time. */
+constexpr size_t kMaxSearches = 2'000;
+/** Answers that may be awaited; small enough for a VM with little processor
+ * time to take them in within the life of a search. */
+constexpr size_t kMaxUnanswered = 3'000;
+/** Packets held for one flow that is searched for. */
+constexpr size_t kMaxHeld = 4;
+/** Time after which agents that may have the flow are tried though answers of
+ * others are missing. */
+constexpr Duration kAnswerLimit = Milliseconds(30);
+/** Time after which agents that have not answered are asked once more. */
+constexpr Duration kAskAgainAfter = Milliseconds(250);
+/** Time after which a search ends without a result. */
+constexpr Duration kSearchLimit = Seconds(1);
+/** Time without a hand-back after which a tried agent has the flow. */
+constexpr Duration kTryLimit = Milliseconds(500);
+
+} // namespace
+
+std::optional<SearchStep>
+FlowSearches::Start(TimePoint aNow,
+                    const FlowKey& aFlow,
+                    uint32_t aAck,
+                    PacketBytes aBytes,
+                    const SearchScope& aScope)
+{
+  // One search may always run, however many agents it has to ask.
+  bool isTooMany = m_unansweredCount > 0 &&
+                   m_unansweredCount + aScope.m_agents.size() > kMaxUnanswered;
+  if (m_searches.size() >= kMaxSearches || isTooMany) {
+    return std::nullopt;
+  }
+  Search& search = m_searches[aFlow];
+  search.m_startedAt = aNow;
+  search.m_ack = aAck;
+  search.m_isWhole = aScope.m_isWhole;
+  search.m_unanswered = aScope.m_agents;
+  search.m_held.emplace_back(aBytes.begin(), aBytes.end());
+  m_unansweredCount += search.m_unanswered.size();
+  SearchStep step;
+  step.m_move = SearchMove::Ask;
+  step.m_flow = aFlow;
+  step.m_ack = aAck;
+  step.m_ask = aScope.m_agents;
+  return step;
+}
+
+void
+FlowSearches::Hold(const FlowKey& aFlow, PacketBytes aBytes)
+{
+  Search& search = m_searches.at(aFlow);
+  if (search.m_held.size() < kMaxHeld) {
+    search.m_held.emplace_back(aBytes.begin(), aBytes.end());
+  }
+}
+
+SearchStep
+FlowSearches::End(TimePoint aNow,
+                  Searches::iterator aFound,
+                  SearchMove aMove,
+                  uint32_t aAgentIp)
+{
+  Search& search = aFound->second;
+  SearchStep step;
+  step.m_move = aMove;
+  step.m_flow = aFound->first;
+  step.m_ack = search.m_ack;
+  step.m_agentIp = aAgentIp;
+  step.m_held = std::move(search.m_held);
+  step.m_took = aNow - search.m_startedAt;
+  m_unansweredCount -= search.m_unanswered.size();
+  m_searches.erase(aFound);
+  return step;
+}
+
+// The search keeps no copies: the agent hands back what its server does not
+// take.
+SearchStep
+FlowSearches::TryNext(TimePoint aNow, Searches::iterator aFound)
+{
+  Search& search = aFound->second;
+  search.m_trying = search.m_possible.back();
+  search.m_possible.pop_back();
+  search.m_triedAt = aNow;
+  SearchStep step;
+  step.m_move = SearchMove::Try;
+  step.m_flow = aFound->first;
+  step.m_agentIp = search.m_trying;
+  step.m_held = std::move(search.m_held);
+  step.m_took = aNow - search.m_startedAt;
+  search.m_held.clear();
+  return step;
+}
+
+// Called when an answer or a returned packet may have decided the search.
+SearchStep
+FlowSearches::GoOn(TimePoint aNow, Searches::iterator aFound)
+{
+  Search& search = aFound->second;
+  if (search.m_trying != 0) {
+    return {};
+  }
+  bool isPatient =
+    !search.m_unanswered.empty() && aNow - search.m_startedAt <= kAnswerLimit;
+  if (isPatient) {
+    return {};
+  }
+  if (!search.m_possible.empty()) {
+    return TryNext(aNow, aFound);
+  }
+  if (!search.m_unanswered.empty()) {
+    return {};
+  }
+  return End(
+    aNow, aFound, search.m_isWhole ? SearchMove::Lost : SearchMove::GiveUp, 0);
+}
+
+SearchStep
+FlowSearches::OnAnswer(TimePoint aNow,
+                       uint32_t aAgentIp,
+                       const FlowAnswer& aAnswer)
+{
+  auto found = m_searches.find(aAnswer.m_flow);
+  if (found == m_searches.end()) {
+    return {};
+  }
+  Search& search = found->second;
+  if (aAnswer.m_ownership == FlowOwnership::Yes) {
+    return End(aNow, found, SearchMove::Found, aAgentIp);
+  }
+  // An agent that is asked twice answers twice.
+  bool isFirst = std::erase(search.m_unanswered, aAgentIp) > 0;
+  if (!isFirst) {
+    return {};
+  }
+  m_unansweredCount -= 1;
+  if (aAnswer.m_ownership == FlowOwnership::Possible) {
+    search.m_possible.push_back(aAgentIp);
+  }
+  return GoOn(aNow, found);
+}
+
+SearchStep
+FlowSearches::OnReturned(TimePoint aNow,
+                         const FlowKey& aFlow,
+                         uint32_t aAgentIp,
+                         PacketBytes aBytes)
+{
+  Hold(aFlow, aBytes);
+  auto found = m_searches.find(aFlow);
+  if (found->second.m_trying != aAgentIp) {
+    return {};
+  }
+  found->second.m_trying = 0;
+  return GoOn(aNow, found);
+}
+
+std::vector<SearchStep>
+FlowSearches::OnTick(TimePoint aNow)
+{
+  std::vector<SearchStep> steps;
+  std::vector<FlowKey> flows;
+  for (const auto& [flow, search] : m_searches) {
+    flows.push_back(flow);
+  }
+  for (const FlowKey& flow : flows) {
+    auto found = m_searches.find(flow);
+    Search& search = found->second;
+    Duration age = aNow - search.m_startedAt;
+    if (search.m_trying != 0) {
+      if (aNow - search.m_triedAt > kTryLimit) {
+        SearchMove move =
+          search.m_held.empty() ? SearchMove::Wait : SearchMove::Found;
+        steps.push_back(End(aNow, found, move, search.m_trying));
+      }
+      continue;
+    }
+    if (age > kSearchLimit) {
+      steps.push_back(End(aNow, found, SearchMove::GiveUp, 0));
+      continue;
+    }
+    if (age > kAskAgainAfter && !search.m_wasAskedAgain) {
+      search.m_wasAskedAgain = true;
+      SearchStep step;
+      step.m_move = SearchMove::Ask;
+      step.m_flow = flow;
+      step.m_ack = search.m_ack;
+      step.m_ask = search.m_unanswered;
+      steps.push_back(std::move(step));
+      continue;
+    }
+    steps.push_back(GoOn(aNow, found));
+  }
+  std::erase_if(steps, [](const SearchStep& aStep) {
+    return aStep.m_move == SearchMove::Wait;
+  });
+  return steps;
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowSearches.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "FlowMessages.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <optional>
+#include <vector>
+
+namespace bilberryfield {
+
+/** How a search goes on. */
+enum class SearchMove : uint8_t
+{
+  Wait,   /**< For answers, or for the end of a try. */
+  Ask,    /**< The agents of the step have to be asked. */
+  Found,  /**< The agent of the step has the flow. */
+  Try,    /**< The agent of the step may have it and gets the packets. */
+  Lost,   /**< All agents denied the flow. */
+  GiveUp, /**< Answers are missing; the packets are dropped. */
+};
+
+/** The next step of a search. */
+struct SearchStep
+{
+  SearchMove m_move = SearchMove::Wait;
+  FlowKey m_flow;
+  /** Acknowledgement number of the caller's first packet. */
+  uint32_t m_ack = 0;
+  uint32_t m_agentIp = 0;
+  std::vector<uint32_t> m_ask;
+  /** Packets for the agent, when one was found or is tried. */
+  std::vector<std::vector<uint8_t>> m_held;
+  /** Time since the search began. */
+  Duration m_took{ 0 };
+};
+
+/** Agents that may have a flow. */
+struct SearchScope
+{
+  std::vector<uint32_t> m_agents;
+  /** The flow can be at no other agent. */
+  bool m_isWhole = false;
+};
+
+/**
+ * Finds the agents of flows that a balancer does not know. All agents of the
+ * flow's service are asked at once; those that cannot tell, because they
+ * started after their servers, are tried one after the other.
+ */
+class FlowSearches
+{
+public:
+  /** True while this flow is searched for or its packets are tried. */
+  bool Contains(const FlowKey& aFlow) const
+  {
+    return m_searches.contains(aFlow);
+  }
+
+  /** Begins a search with its first packet; nothing when too many run. */
+  std::optional<SearchStep> Start(TimePoint aNow,
+                                  const FlowKey& aFlow,
+                                  uint32_t aAck,
+                                  PacketBytes aBytes,
+                                  const SearchScope& aScope);
+
+  /** Another packet of a flow that is searched for. */
+  void Hold(const FlowKey& aFlow, PacketBytes aBytes);
+
+  SearchStep OnAnswer(TimePoint aNow,
+                      uint32_t aAgentIp,
+                      const FlowAnswer& aAnswer);
+
+  /** The agent that was tried handed a packet back. */
+  SearchStep OnReturned(TimePoint aNow,
+                        const FlowKey& aFlow,
+                        uint32_t aAgentIp,
+                        PacketBytes aBytes);
+
+  /** What has become due. */
+  std::vector<SearchStep> OnTick(TimePoint aNow);
+
+private:
+  struct Search
+  {
+    TimePoint m_startedAt;
+    uint32_t m_ack = 0;
+    bool m_isWhole = false;
+    bool m_wasAskedAgain = false;
+    /** Agents that have not answered yet. */
+    std::vector<uint32_t> m_unanswered;
+    /** Agents that may have the flow and were not tried yet. */
+    std::vector<uint32_t> m_possible;
+    /** Agent that has the packets now; 0 when none. */
+    uint32_t m_trying = 0;
+    TimePoint m_triedAt;
+    std::vector<std::vector<uint8_t>> m_held;
+  };
+  using Searches = absl::flat_hash_map<FlowKey, Search>;
+
+  SearchStep End(TimePoint aNow,
+                 Searches::iterator aFound,
+                 SearchMove aMove,
+                 uint32_t aAgentIp);
+  SearchStep TryNext(TimePoint aNow, Searches::iterator aFound);
+  SearchStep GoOn(TimePoint aNow, Searches::iterator aFound);
+
+  Searches m_searches;
+  /** Answers that all searches together wait for. */
+  size_t m_unansweredCount = 0;
+};
+
+} // namespace bilberryfield
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -336,7 +336,8 @@
           { step.m_flow.m_caller.m_ip, m_settings.m_packetListen.m_port });
         break;
       case FlowBalancerAction::Query:
-        m_control.Send(step.m_agentIp, FlowQuery{ step.m_flow, step.m_number });
+        m_control.SendToAll(step.m_ask,
+                            FlowQuery{ step.m_flow, step.m_number });
         break;
       case FlowBalancerAction::Drop:
         break;
@@ -369,6 +370,9 @@
   if (aStep.m_agentIp != 0) {
     fields["agent"] = IpToText(aStep.m_agentIp);
   }
+  if (!aStep.m_ask.empty()) {
+    fields["asked"] = aStep.m_ask.size();
+  }
   if (aStep.m_candidates > 0) {
     fields["candidates"] = aStep.m_candidates;
     fields["busy"] = aStep.m_busy;
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -371,22 +371,30 @@
       reset.m_flags = kReset;
       Travel([this, reset] { ToCaller(reset); });
     } else if (step.m_action == FlowBalancerAction::Query) {
-      FlowQuery query{ step.m_flow, step.m_number };
-      Travel([this, ip = step.m_agentIp, query, aBalancer] {
-        Server& server = m_servers.at(ip);
-        if (server.m_isGone) {
-          return;
-        }
-        FlowAnswer answer = server.m_agent->OnQuery(m_now, query);
-        Travel([this, ip, answer, aBalancer] {
-          FlowBalancer& core = *m_balancers[aBalancer].m_core;
-          Run(aBalancer, core.OnAnswer(m_now, ip, answer), {});
-        });
-      });
+      for (uint32_t ip : step.m_ask) {
+        Ask(aBalancer, ip, { step.m_flow, step.m_number });
+      }
     }
   }
 }
 
+void
+FakeFlowNet::Ask(size_t aBalancer, uint32_t aIp, const FlowQuery& aQuery)
+{
+  m_queries += 1;
+  Travel([this, aIp, aQuery, aBalancer] {
+    Server& server = m_servers.at(aIp);
+    if (server.m_isGone) {
+      return;
+    }
+    FlowAnswer answer = server.m_agent->OnQuery(m_now, aQuery);
+    Travel([this, aIp, answer, aBalancer] {
+      FlowBalancer& core = *m_balancers[aBalancer].m_core;
+      Run(aBalancer, core.OnAnswer(m_now, aIp, answer), {});
+    });
+  });
+}
+
 void
 FakeFlowNet::ToAgent(uint32_t aIp, PacketHeader aHeader, uint32_t aBalancerIp)
 {
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -88,6 +88,8 @@
   const std::string& ServiceOf(uint32_t aIp) const;
   /** Packets that agents handed back to balancers so far. */
   uint64_t HandBacks() const { return m_handBacks; }
+  /** Agents that balancers asked for flows so far. */
+  uint64_t Queries() const { return m_queries; }
 
   /** Requests that wait at a server before it sheds others. */
   size_t m_serverQueue = 16;
@@ -150,6 +152,7 @@
   void Run(size_t aBalancer,
            const std::vector<BalancerStep>& aSteps,
            const PacketHeader& aHeader);
+  void Ask(size_t aBalancer, uint32_t aIp, const FlowQuery& aQuery);
   void ToAgent(uint32_t aIp, PacketHeader aHeader, uint32_t aBalancerIp);
   void FromAgent(Server& aServer,
                  const AgentVerdict& aVerdict,
@@ -177,6 +180,7 @@
   uint64_t m_version = 0;
   double m_loss = 0;
   uint64_t m_handBacks = 0;
+  uint64_t m_queries = 0;
   std::priority_queue<Event> m_events;
   std::vector<Node> m_balancers;
   std::vector<size_t> m_rotation;
--- /dev/null
+++ b/test/correctness/FlowSearch.cpp
@@ -0,0 +1,130 @@
+#include "FlowSearches.h"
+
+#include <criterion/criterion.h>
+#include <numeric>
+
+using namespace bilberryfield;
+
+namespace {
+
+constexpr TimePoint kStart{ Seconds(100) };
+const std::vector<uint8_t> kPacket = { 1, 2, 3 };
+
+FlowKey
+FlowNumber(uint16_t aNumber)
+{
+  return { { 0x64400001, aNumber }, { 0xC6120001, 443 } };
+}
+
+SearchScope
+ScopeOf(size_t aAgents)
+{
+  SearchScope scope;
+  scope.m_agents.resize(aAgents);
+  std::iota(scope.m_agents.begin(), scope.m_agents.end(), 1);
+  scope.m_isWhole = true;
+  return scope;
+}
+
+FlowAnswer
+AnswerOf(FlowOwnership aOwnership)
+{
+  return { FlowNumber(1), aOwnership };
+}
+
+/** A search for flow 1 among three agents. */
+struct OneSearch
+{
+  OneSearch()
+  {
+    m_searches.Start(kStart, FlowNumber(1), 7, kPacket, ScopeOf(3));
+  }
+
+  SearchStep Answer(Duration aAt, uint32_t aAgentIp, FlowOwnership aOwnership)
+  {
+    return m_searches.OnAnswer(kStart + aAt, aAgentIp, AnswerOf(aOwnership));
+  }
+
+  FlowSearches m_searches;
+};
+
+} // namespace
+
+// A VM with little processor time takes long to read its answers. To search
+// anew for the next packet would only add to its work.
+Test(FlowSearch, AnAnswerThatIsLateStillCounts)
+{
+  OneSearch one;
+  for (int i = 1; i < 20; ++i) {
+    one.m_searches.OnTick(kStart + i * Milliseconds(20));
+  }
+  SearchStep step = one.Answer(Milliseconds(400), 2, FlowOwnership::Yes);
+  cr_assert(step.m_move == SearchMove::Found);
+  cr_assert_eq(step.m_agentIp, 2);
+  cr_assert_eq(step.m_held.size(), 1);
+}
+
+Test(FlowSearch, AgentsThatDoNotAnswerAreAskedOnceMore)
+{
+  OneSearch one;
+  one.Answer(Milliseconds(2), 1, FlowOwnership::No);
+  std::vector<uint32_t> asked;
+  for (int i = 1; i < 40; ++i) {
+    for (const SearchStep& step :
+         one.m_searches.OnTick(kStart + i * Milliseconds(20))) {
+      cr_assert(step.m_move == SearchMove::Ask);
+      asked.insert(asked.end(), step.m_ask.begin(), step.m_ask.end());
+    }
+  }
+  cr_assert(asked == std::vector<uint32_t>({ 2, 3 }));
+}
+
+Test(FlowSearch, EndsWithoutAResultWhenAnswersAreMissing)
+{
+  OneSearch one;
+  one.Answer(Milliseconds(2), 1, FlowOwnership::No);
+  SearchMove last = SearchMove::Wait;
+  for (int i = 1; i < 60; ++i) {
+    for (const SearchStep& step :
+         one.m_searches.OnTick(kStart + i * Milliseconds(20))) {
+      last = step.m_move;
+    }
+  }
+  cr_assert(last == SearchMove::GiveUp);
+  cr_assert_not(one.m_searches.Contains(FlowNumber(1)));
+}
+
+Test(FlowSearch, TriesAgentsThatCannotTellOneAfterTheOther)
+{
+  OneSearch one;
+  one.Answer(Milliseconds(1), 1, FlowOwnership::Possible);
+  one.Answer(Milliseconds(1), 2, FlowOwnership::No);
+  SearchStep first = one.Answer(Milliseconds(2), 3, FlowOwnership::Possible);
+  cr_assert(first.m_move == SearchMove::Try);
+  SearchStep second = one.m_searches.OnReturned(
+    kStart + Milliseconds(4), FlowNumber(1), first.m_agentIp, kPacket);
+  cr_assert(second.m_move == SearchMove::Try);
+  cr_assert_neq(second.m_agentIp, first.m_agentIp);
+  cr_assert_eq(second.m_held.size(), 1);
+  SearchStep last = one.m_searches.OnReturned(
+    kStart + Milliseconds(6), FlowNumber(1), second.m_agentIp, kPacket);
+  cr_assert(last.m_move == SearchMove::Lost);
+  cr_assert_eq(last.m_ack, 7);
+}
+
+Test(FlowSearch, BoundsTheAnswersThatAreAwaited)
+{
+  FlowSearches searches;
+  size_t awaited = 0;
+  for (uint16_t i = 1; i < 1000; ++i) {
+    if (searches.Start(kStart, FlowNumber(i), 0, kPacket, ScopeOf(50))) {
+      awaited += 50;
+    }
+  }
+  cr_assert_leq(awaited, 3000);
+  // Answers make room for others.
+  for (uint32_t ip = 1; ip <= 50; ++ip) {
+    searches.OnAnswer(kStart, ip, AnswerOf(FlowOwnership::No));
+  }
+  cr_assert(searches.Start(kStart, FlowNumber(2000), 0, kPacket, ScopeOf(50)));
+}
--- a/test/correctness/LostFlows.cpp
+++ b/test/correctness/LostFlows.cpp
@@ -15,12 +15,12 @@
   std::vector<uint32_t> m_servers;
 
   // A flow whose request runs when its server and all agents start anew.
-  LostFlowCase()
+  explicit LostFlowCase(int aServers = 4)
   {
     for (int i = 0; i < 2; ++i) {
       m_net.AddBalancer("a");
     }
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < aServers; ++i) {
       m_servers.push_back(m_net.AddServer("desk", "a"));
     }
     m_net.SetRoutes({ { "r", kLookups, { { "desk", 1 } }, 1, {} } });
@@ -59,3 +59,18 @@
   lost.m_net.Pass(Seconds(3));
   cr_assert(lost.m_net.Flow(lost.m_flow).m_state == FlowState::Reset);
 }
+
+// Tries at one agent after the other need no new questions to the others.
+Test(LostFlows, AskEachAgentOnceForEachPacket)
+{
+  constexpr int kServers = 40;
+  LostFlowCase lost(kServers);
+  lost.m_net.Pass(Seconds(3));
+  const FakeFlow& flow = lost.m_net.Flow(lost.m_flow);
+  cr_assert(flow.m_state == FlowState::Reset);
+  cr_assert_leq(lost.m_net.Queries(),
+                uint64_t{ flow.m_sends } * kServers,
+                "%lu queries for %u packets",
+                lost.m_net.Queries(),
+                flow.m_sends);
+}
--- a/test/performance/FlowCosts.cpp
+++ b/test/performance/FlowCosts.cpp
@@ -195,22 +195,21 @@
   double time = MicrosecondsPerCall(2'000, [&](size_t aFlow) {
     std::vector<uint8_t> packet = BytesOf(balancer.PacketOf(aFlow, kAck));
     std::optional<PacketHeader> header = DecodeHeader(packet);
-    auto queries =
-      balancer.Core().OnCallerPacket(balancer.Now(), *header, packet);
-    for (const BalancerStep& query : queries) {
-      bytes +=
-        EncodeFlowMessage(FlowQuery{ query.m_flow, query.m_number }).size();
-    }
-    // The last agent that is asked has the flow.
-    for (size_t i = 0; i < queries.size(); ++i) {
-      bool isOwner = i + 1 == queries.size();
-      FlowAnswer answer{ queries[i].m_flow,
+    BalancerStep query =
+      balancer.Core().OnCallerPacket(balancer.Now(), *header, packet).front();
+    // One query is encoded for all, and the last agent has the flow.
+    std::string asked =
+      EncodeFlowMessage(FlowQuery{ query.m_flow, query.m_number });
+    bytes += asked.size() * query.m_ask.size();
+    for (uint32_t ip : query.m_ask) {
+      bool isOwner = ip == query.m_ask.back();
+      FlowAnswer answer{ query.m_flow,
                          isOwner ? FlowOwnership::Yes : FlowOwnership::No };
       std::string text = EncodeFlowMessage(answer);
       bytes += text.size();
       Result<FlowMessage> message = DecodeFlowMessage(text, "peer");
       balancer.Core().OnAnswer(
-        balancer.Now(), queries[i].m_agentIp, std::get<FlowAnswer>(*message));
+        balancer.Now(), ip, std::get<FlowAnswer>(*message));
     }
   });
   Print("flow that a balancer has to search, both ends' codec", at, time, "us");
