Do not wait 1.5 s for a silent store while nothing is known yet

Ruled out: peers (asked five times a second, they knew nothing either) and the pause between tries (at most 250 ms then). Change: until the first listing, two of three calls fail after 400 ms; every third has its 1.5 s, so that a slow store is still read. StoreLink can now swallow data for good.

--- a/packages/flownode/StoreFollower.cpp
+++ b/packages/flownode/StoreFollower.cpp
@@ -16,6 +16,11 @@
 constexpr Duration kMaxRetry = Milliseconds(800);
 /** As kMaxRetry, while nothing is known yet and no caller can be served. */
 constexpr Duration kMaxRetryUnlisted = Milliseconds(250);
+/** Time for a listing's answer while nothing is known yet; a store that has
+ * fallen silent does not answer later, when it is back. */
+constexpr Duration kUnlistedTimeout = Milliseconds(400);
+/** Every so many tries without a listing, a slow store gets its full time. */
+constexpr uint32_t kPatientTry = 3;
 /** Failures after which the time between two tries grows no more. */
 constexpr uint32_t kMaxDoublings = 3;
 
@@ -35,11 +40,14 @@
 void
 StoreFollower::List()
 {
-  m_store.List(m_kind, [this](Result<StoreListing> aListing) {
+  auto onEnd = [this](Result<StoreListing> aListing) {
     m_loop.Post([this, listing = std::move(aListing)]() mutable {
       OnListed(std::move(listing));
     });
-  });
+  };
+  bool isUrgent = m_revision == 0 && (m_failures + 1) % kPatientTry != 0;
+  m_store.List(
+    m_kind, onEnd, isUrgent ? kUnlistedTimeout : StoreClient::kCallTimeout);
 }
 
 void
--- a/standins/StoreLink.cpp
+++ b/standins/StoreLink.cpp
@@ -129,6 +129,9 @@
   if (aSession->m_mode == LinkMode::Reset) {
     return aSession->Close();
   }
+  if (aSession->m_mode == LinkMode::Swallow) {
+    return Relay(aSession, aIsAnswer);
+  }
   if (aSession->IsBlocked(aIsAnswer)) {
     asio::steady_timer& timer = aSession->m_timers[aIsAnswer ? 1 : 0];
     timer.expires_after(kLookEvery);
--- a/standins/StoreLink.h
+++ b/standins/StoreLink.h
@@ -15,15 +15,17 @@
 {
   Pass,
   Slow,        /**< Each piece of data comes late. */
-  Silent,      /**< Nothing comes through; connections stay open. */
+  Silent,      /**< Nothing comes through until the link passes again. */
+  Swallow,     /**< What is sent is lost; connections stay open. */
   AnswersLost, /**< Calls come through, answers do not. */
   Reset,       /**< Connections are reset, also new ones. */
 };
 
-inline constexpr NameTable<LinkMode, 5> kLinkModeNames = { {
+inline constexpr NameTable<LinkMode, 6> kLinkModeNames = { {
   { LinkMode::Pass, "pass" },
   { LinkMode::Slow, "slow" },
   { LinkMode::Silent, "silent" },
+  { LinkMode::Swallow, "swallow" },
   { LinkMode::AnswersLost, "answers-lost" },
   { LinkMode::Reset, "reset" },
 } };
