--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -16,9 +16,6 @@
 constexpr Duration kConfirmLimit = Milliseconds(120);
 /** Bytes that an acknowledgement may be ahead of the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
-/** Time without any balancer's subscription after which the agent's entry in
- * the store is looked at. */
-constexpr Duration kUnheardLimit = Seconds(10);
 /** Flows that are remembered as not being at the server. */
 constexpr size_t kMaxDenied = 10'000;
 /** Weight of a new sample in the mean answer time. */
@@ -35,7 +32,13 @@
   , m_flows(m_options.m_maxFlows)
   , m_denied(kMaxDenied)
   , m_nextPeriod(aStart + m_options.m_maxFlowAge)
-  , m_lastSubscribed(aStart)
+  , m_reports({ m_options.m_service,
+                m_options.m_domain,
+                m_options.m_packets,
+                {},
+                {},
+                {} },
+              aStart)
 {
 }
 
@@ -277,20 +280,7 @@
                        uint32_t aBalancerIp,
                        const Subscribe& aMessage)
 {
-  Subscriber& subscriber = m_subscribers[aBalancerIp];
-  m_lastSubscribed = aNow;
-  subscriber.m_heardAt = aNow;
-  subscriber.m_pace = aMessage.m_pace;
-  subscriber.m_knowsAgent = aMessage.m_knownTag == m_serviceTag;
-  subscriber.m_routes = aMessage.m_routes.m_version;
-  subscriber.m_agents = aMessage.m_agents.m_version;
-  m_isMissedInStore = m_isMissedInStore || !aMessage.m_isListed;
-  if (aMessage.m_routes.m_version >= m_routes.m_version) {
-    m_routes = aMessage.m_routes;
-  }
-  if (aMessage.m_agents.m_version >= m_agents.m_version) {
-    m_agents = aMessage.m_agents;
-  }
+  m_reports.OnSubscribe(aNow, aBalancerIp, aMessage);
 }
 
 FlowAnswer
@@ -315,43 +305,6 @@
   };
 }
 
-AgentReport
-FlowAgent::MakeReport(const ServerLoad& aLoad) const
-{
-  return { m_options.m_service,
-           m_options.m_domain,
-           m_options.m_packets,
-           aLoad,
-           m_routes,
-           m_agents };
-}
-
-bool
-FlowAgent::NeedsWholeReport(const Subscriber& aSubscriber) const
-{
-  return !aSubscriber.m_knowsAgent ||
-         aSubscriber.m_routes < m_routes.m_version ||
-         aSubscriber.m_agents < m_agents.m_version;
-}
-
-bool
-FlowAgent::IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const
-{
-  Duration since = aNow - aSubscriber.m_reportedAt;
-  if (since >= aSubscriber.m_pace.m_every || !aSubscriber.m_knowsAgent ||
-      aSubscriber.m_reportedCondition != Condition(aNow)) {
-    return true;
-  }
-  if (aSubscriber.m_reportedBusy == m_busy) {
-    return false;
-  }
-  uint32_t slots = Load().m_slots;
-  bool wasFull = aSubscriber.m_reportedBusy >= slots;
-  bool hasTurned = wasFull != (m_busy >= slots);
-  return since >= (hasTurned ? aSubscriber.m_pace.m_onFull
-                             : aSubscriber.m_pace.m_onChange);
-}
-
 DueReports
 FlowAgent::OnTick(TimePoint aNow)
 {
@@ -363,33 +316,7 @@
     m_flows.EndPeriod();
     m_denied.EndPeriod();
   }
-  std::erase_if(m_subscribers, [&](const auto& aItem) {
-    return aNow - aItem.second.m_heardAt > aItem.second.m_pace.m_life;
-  });
-  if (aNow - m_lastSubscribed > kUnheardLimit) {
-    m_lastSubscribed = aNow;
-    m_isMissedInStore = true;
-  }
-  DueReports reports;
-  reports.m_load = CurrentLoad(aNow);
-  for (auto& [ip, subscriber] : m_subscribers) {
-    if (!IsReportDue(aNow, subscriber)) {
-      continue;
-    }
-    subscriber.m_reportedAt = aNow;
-    subscriber.m_reportedBusy = m_busy;
-    subscriber.m_reportedCondition = reports.m_load.m_condition;
-    bool isWhole = NeedsWholeReport(subscriber);
-    (isWhole ? reports.m_reportTo : reports.m_loadTo).push_back(ip);
-    // A report that is lost is made up for after the next subscription.
-    subscriber.m_knowsAgent = true;
-    subscriber.m_routes = std::max(subscriber.m_routes, m_routes.m_version);
-    subscriber.m_agents = std::max(subscriber.m_agents, m_agents.m_version);
-  }
-  if (!reports.m_reportTo.empty()) {
-    reports.m_report = MakeReport(reports.m_load);
-  }
-  return reports;
+  return m_reports.OnTick(aNow, CurrentLoad(aNow));
 }
 
 // Callers that vanish leave flows behind that look busy.
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -3,12 +3,12 @@
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
+#include "ReportSchedule.h"
 #include "ServerTracker.h"
 
 #include <absl/container/inlined_vector.h>
 #include <array>
 #include <deque>
-#include <map>
 
 namespace bilberryfield {
 
@@ -55,16 +55,6 @@
   absl::InlinedVector<uint8_t, 40> m_bytes;
 };
 
-/** Reports for several balancers. */
-struct DueReports
-{
-  /** Balancers that have to learn who the agent is, or newer versions. */
-  std::vector<uint32_t> m_reportTo;
-  AgentReport m_report;
-  std::vector<uint32_t> m_loadTo;
-  ServerLoad m_load;
-};
-
 /**
  * The decisions of the agent beside one backend server: which packets reach
  * the server, and what the balancers learn of its load.
@@ -109,8 +99,7 @@
 
   /** True when a balancer that reads the store misses this agent there, or
    * when no balancer asks for reports. */
-  bool IsMissedInStore() const { return m_isMissedInStore; }
-  void ClearMissedInStore() { m_isMissedInStore = false; }
+  bool TakeMissedInStore() { return m_reports.TakeMissedInStore(); }
 
   /** Time from a flow's first packet, or a request, to its answer. */
   const LatencyHistogram& AnswerTimes() const { return m_answerTimes; }
@@ -143,19 +132,6 @@
     TimePoint m_busySince;
   };
 
-  struct Subscriber
-  {
-    TimePoint m_heardAt;
-    TimePoint m_reportedAt;
-    ReportPace m_pace;
-    uint32_t m_reportedBusy = 0;
-    ServerCondition m_reportedCondition = ServerCondition::Unknown;
-    bool m_knowsAgent = false;
-    /** Versions that the balancer has, or was told of. */
-    uint64_t m_routes = 0;
-    uint64_t m_agents = 0;
-  };
-
   struct BusyEntry
   {
     TimePoint m_since;
@@ -183,9 +159,6 @@
   void EndStuckFlows(TimePoint aNow);
   void EndUnconfirmed(TimePoint aNow);
   ServerLoad CurrentLoad(TimePoint aNow) const;
-  AgentReport MakeReport(const ServerLoad& aLoad) const;
-  bool NeedsWholeReport(const Subscriber& aSubscriber) const;
-  bool IsReportDue(TimePoint aNow, const Subscriber& aSubscriber) const;
 
   FlowAgentOptions m_options;
   uint32_t m_serviceTag;
@@ -205,14 +178,9 @@
   /** Openings, until the caller's next packet is due. */
   std::deque<BusyEntry> m_unconfirmed;
   std::deque<OpeningEntry> m_openings;
-  std::map<uint32_t, Subscriber> m_subscribers;
-  VersionHolder m_routes;
-  VersionHolder m_agents;
+  ReportSchedule m_reports;
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
-  bool m_isMissedInStore = false;
-  /** When a balancer last asked for reports, or the lack of one was noted. */
-  TimePoint m_lastSubscribed;
 };
 
 } // namespace bilberryfield
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -325,8 +325,7 @@
   bool isServerHere =
     condition != ServerCondition::Unknown && condition != ServerCondition::Gone;
   m_registrar.SetWanted(isServerHere);
-  if (m_core.IsMissedInStore()) {
-    m_core.ClearMissedInStore();
+  if (m_core.TakeMissedInStore()) {
     m_registrar.OnMissing();
   }
 }
--- a/test/correctness/Listening.cpp
+++ b/test/correctness/Listening.cpp
@@ -228,7 +228,7 @@
 {
   FlowAgent agent(DeskAgent(), kStart);
   agent.OnTick(kStart + Seconds(9));
-  cr_assert_not(agent.IsMissedInStore());
+  cr_assert_not(agent.TakeMissedInStore());
   agent.OnTick(kStart + Seconds(11));
-  cr_assert(agent.IsMissedInStore());
+  cr_assert(agent.TakeMissedInStore());
 }
