--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /** Reports that may be missing before an agent gets no new flows. */
-constexpr double kMissedReports = 3.5;
+constexpr int kMissedReports = 2;
+/** Time by which a report may be late. */
+constexpr Duration kReportLateness = Milliseconds(150);
 /** Time in which a newly listed agent is taken without a report. */
 constexpr Duration kFirstReportLimit = Milliseconds(600);
 /** Silence after which an unlisted agent is forgotten. */
@@ -171,6 +173,15 @@
   return aAgent.m_heardAt && aNow - *aAgent.m_heardAt <= aAgent.m_silenceLimit;
 }
 
+bool
+AgentList::IsAliveSince(TimePoint aNow,
+                        const KnownAgent& aAgent,
+                        TimePoint aTime) const
+{
+  bool isReportDue = aNow - aTime > aAgent.m_silenceLimit / 2;
+  return Hears(aNow, aAgent) && (!isReportDue || *aAgent.m_heardAt > aTime);
+}
+
 std::vector<PlacementCandidate>
 AgentList::Candidates(TimePoint aNow,
                       const std::string& aService,
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -103,6 +103,11 @@
   /** True while this agent's reports come in. */
   bool Hears(TimePoint aNow, const KnownAgent& aAgent) const;
 
+  /** False when a report is due that the agent should have sent since. */
+  bool IsAliveSince(TimePoint aNow,
+                    const KnownAgent& aAgent,
+                    TimePoint aTime) const;
+
 private:
   /** The agent at an address, made anew when its entry is another one. */
   KnownAgent& Take(TimePoint aNow, const AgentEntry& aEntry);
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -119,20 +119,32 @@
     }
     return m_steps;
   }
-  if (flow && flow->m_sawOpening && flow->m_openSeq == aHeader.m_seq) {
-    const KnownAgent* agent = m_agents.Find(flow->m_agentIp);
-    if (agent && m_agents.Hears(aNow, *agent)) {
-      // A copy: the first one, or its answer, was lost on the way.
-      Forward(key, flow->m_agentIp, FlowReason::Known);
-      m_steps.back().m_mark = static_cast<uint32_t>(OpenMode::Queue);
-      return m_steps;
-    }
+  bool isCopy = flow && flow->m_sawOpening && flow->m_openSeq == aHeader.m_seq;
+  const KnownAgent* agent = isCopy ? m_agents.Find(flow->m_agentIp) : nullptr;
+  if (agent && m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
+    // The first copy, or its answer, was lost on the way.
+    Forward(key, flow->m_agentIp, FlowReason::Known);
+    m_steps.back().m_mark = static_cast<uint32_t>(OpenMode::Queue);
+    return m_steps;
+  }
+  Flow opened = Opened(aHeader.m_seq);
+  if (agent) {
+    opened.m_tried[opened.m_tryCount++] = agent->m_entry.m_packets.m_ip;
   }
-  m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
+  m_flows.Insert(key, opened);
   PlaceOpening(aNow, aHeader, *route, false);
   return m_steps;
 }
 
+FlowBalancer::Flow
+FlowBalancer::Opened(uint32_t aSeq)
+{
+  Flow flow;
+  flow.m_openSeq = aSeq;
+  flow.m_sawOpening = true;
+  return flow;
+}
+
 void
 FlowBalancer::PlaceOpening(TimePoint aNow,
                            const PacketHeader& aHeader,
@@ -155,6 +167,7 @@
   }
   uint32_t agentIp = candidates[choice->m_index].m_agentIp;
   flow->m_agentIp = agentIp;
+  flow->m_placedAt = aNow;
   bool mayQueue =
     choice->m_mode == OpenMode::Queue || flow->m_tryCount >= kTriesIfFree;
   m_agents.OnPlaced(agentIp);
@@ -225,7 +238,7 @@
   m_agents.OnHandBack(
     aAgentIp, aReason, TaggedLoad::Unpack(aHeader.m_tag).m_busy);
   if (!flow || flow->m_openSeq != aHeader.m_seq) {
-    m_flows.Insert(key, { 0, aHeader.m_seq, true, 0, {} });
+    m_flows.Insert(key, Opened(aHeader.m_seq));
     flow = m_flows.Find(key);
   }
   if (flow->m_agentIp != 0 && flow->m_agentIp != aAgentIp) {
@@ -318,7 +331,9 @@
   }
   bool isFound = aStep.m_move == SearchMove::Found;
   m_searchTimes.Add(aStep.m_took);
-  m_flows.Insert(aStep.m_flow, { aStep.m_agentIp, 0, false, 0, {} });
+  Flow flow;
+  flow.m_agentIp = aStep.m_agentIp;
+  m_flows.Insert(aStep.m_flow, flow);
   for (std::vector<uint8_t>& packet : aStep.m_held) {
     Forward(aStep.m_flow,
             aStep.m_agentIp,
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -144,8 +144,10 @@
   struct Flow
   {
     uint32_t m_agentIp = 0;
-    /** Sequence number of the opening packet, when this balancer saw it. */
+    /** Sequence number of the opening packet, when this balancer saw it, and
+     * when it was placed. */
     uint32_t m_openSeq = 0;
+    TimePoint m_placedAt;
     bool m_sawOpening = false;
     uint8_t m_tryCount = 0;
     std::array<uint32_t, kMaxTries> m_tried{};
@@ -155,6 +157,8 @@
   void NoteInputs(TimePoint aNow,
                   const PlacementCandidate& aChosen,
                   size_t aCount);
+  /** A new flow that has no agent yet. */
+  static Flow Opened(uint32_t aSeq);
   void PlaceOpening(TimePoint aNow,
                     const PacketHeader& aHeader,
                     const Route& aRoute,
