Bound the subscriptions of a start; split the tick of FlowSearches

A balancer that starts among thousands of agents subscribed to all of them at once, and asked each again five times a second for 5 s while it had not reported. Now at most 100 a tick (1,000 a second), and questions for missing reports stay within 500 a second. With up to 100 agents nothing changes. Test: Listening::AsksManyNewAgentsOneAfterTheOther.

--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -163,45 +163,64 @@
   return GoOn(aNow, found);
 }
 
+SearchStep
+FlowSearches::AskAgain(Searches::iterator aFound)
+{
+  Search& search = aFound->second;
+  search.m_wasAskedAgain = true;
+  SearchStep step;
+  step.m_move = SearchMove::Ask;
+  step.m_flow = aFound->first;
+  step.m_ack = search.m_ack;
+  step.m_ask = search.m_unanswered;
+  return step;
+}
+
+// A tried agent that handed nothing back has the flow.
+SearchStep
+FlowSearches::EndTry(TimePoint aNow, Searches::iterator aFound)
+{
+  const Search& search = aFound->second;
+  if (aNow - search.m_triedAt <= kTryLimit) {
+    return {};
+  }
+  SearchMove move =
+    search.m_held.empty() ? SearchMove::Wait : SearchMove::Found;
+  return End(aNow, aFound, move, search.m_trying);
+}
+
+SearchStep
+FlowSearches::OnTime(TimePoint aNow, Searches::iterator aFound)
+{
+  const Search& search = aFound->second;
+  Duration age = aNow - search.m_startedAt;
+  if (search.m_trying != 0) {
+    return EndTry(aNow, aFound);
+  }
+  if (age > kSearchLimit) {
+    return End(aNow, aFound, SearchMove::GiveUp, 0);
+  }
+  if (age > kAskAgainAfter && !search.m_wasAskedAgain) {
+    return AskAgain(aFound);
+  }
+  return GoOn(aNow, aFound);
+}
+
 std::vector<SearchStep>
 FlowSearches::OnTick(TimePoint aNow)
 {
-  std::vector<SearchStep> steps;
+  // Searches end while they are looked at.
   std::vector<FlowKey> flows;
   for (const auto& [flow, search] : m_searches) {
     flows.push_back(flow);
   }
+  std::vector<SearchStep> steps;
   for (const FlowKey& flow : flows) {
-    auto found = m_searches.find(flow);
-    Search& search = found->second;
-    Duration age = aNow - search.m_startedAt;
-    if (search.m_trying != 0) {
-      if (aNow - search.m_triedAt > kTryLimit) {
-        SearchMove move =
-          search.m_held.empty() ? SearchMove::Wait : SearchMove::Found;
-        steps.push_back(End(aNow, found, move, search.m_trying));
-      }
-      continue;
-    }
-    if (age > kSearchLimit) {
-      steps.push_back(End(aNow, found, SearchMove::GiveUp, 0));
-      continue;
-    }
-    if (age > kAskAgainAfter && !search.m_wasAskedAgain) {
-      search.m_wasAskedAgain = true;
-      SearchStep step;
-      step.m_move = SearchMove::Ask;
-      step.m_flow = flow;
-      step.m_ack = search.m_ack;
-      step.m_ask = search.m_unanswered;
+    SearchStep step = OnTime(aNow, m_searches.find(flow));
+    if (step.m_move != SearchMove::Wait) {
       steps.push_back(std::move(step));
-      continue;
     }
-    steps.push_back(GoOn(aNow, found));
   }
-  std::erase_if(steps, [](const SearchStep& aStep) {
-    return aStep.m_move == SearchMove::Wait;
-  });
   return steps;
 }
 
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -103,6 +103,9 @@
                  uint32_t aAgentIp);
   SearchStep TryNext(TimePoint aNow, Searches::iterator aFound);
   SearchStep GoOn(TimePoint aNow, Searches::iterator aFound);
+  static SearchStep AskAgain(Searches::iterator aFound);
+  SearchStep EndTry(TimePoint aNow, Searches::iterator aFound);
+  SearchStep OnTime(TimePoint aNow, Searches::iterator aFound);
 
   Searches m_searches;
   /** Answers that all searches together wait for. */
--- a/packages/flow/ListeningPlan.cpp
+++ b/packages/flow/ListeningPlan.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kNewsEvery = Milliseconds(200);
 /** Time after which an agent whose report is missing is asked again. */
 constexpr Duration kAskAgainAfter = Milliseconds(200);
+/** Questions a second for missing reports. */
+constexpr int kAskedAgainPerSecond = 500;
+/** Subscriptions sent in one tick; more wait for the next one. */
+constexpr size_t kMostInATick = 100;
 /** Time for which a missing report is asked for. */
 constexpr Duration kAwaitedFor = Seconds(5);
 
@@ -31,6 +35,13 @@
   return Milliseconds(aAgents * 1000 / static_cast<size_t>(aPerSecond));
 }
 
+Duration
+AskAgainAfter(size_t aAllAgents)
+{
+  return std::max<Duration>(kAskAgainAfter,
+                            Share(aAllAgents, kAskedAgainPerSecond));
+}
+
 Duration
 RepeatAfter(size_t aAllAgents)
 {
@@ -87,11 +98,14 @@
   size_t near = CountNear(aAgents);
   std::vector<DueSubscription> due;
   for (const auto& [ip, agent] : aAgents.All()) {
+    if (due.size() == kMostInATick) {
+      break;
+    }
     Sent next{ aNow, aRoutes.m_version, aListed.m_version };
     auto [sent, isNew] = m_sent.try_emplace(ip, next);
     Duration since = aNow - sent->second.m_at;
     bool isNews = !sent->second.TellsSameAs(next) && since >= kNewsEvery;
-    bool isAwaited = IsAwaited(aNow, agent) && since >= kAskAgainAfter;
+    bool isAwaited = IsAwaited(aNow, agent) && since >= AskAgainAfter(all);
     if (!isNew && !isNews && !isAwaited && since < RepeatAfter(all)) {
       continue;
     }
--- a/test/correctness/Listening.cpp
+++ b/test/correctness/Listening.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+// Also in the first second, when no agent is known yet.
+Test(Listening, AsksManyNewAgentsOneAfterTheOther)
+{
+  AgentList agents("here");
+  agents.SetListed(kStart, 1, Entries(3000, 1000));
+  ListeningPlan plan;
+  std::set<uint32_t> asked;
+  for (int i = 0; i < 60; ++i) {
+    TimePoint now = kStart + i * ListeningPlan::kTick;
+    std::vector<DueSubscription> due = plan.OnTick(now, agents, {}, {});
+    cr_assert_leq(due.size(), 100);
+    for (const DueSubscription& subscription : due) {
+      asked.insert(subscription.m_agentIp);
+    }
+  }
+  cr_assert_eq(asked.size(), 3000);
+}
+
 Test(Listening, TellsANewVersionSoon)
 {
   Listener listener(225, 75);
