End the fault soak's processes when it cannot go on

An exception left main uncaught, so that no destructor ran and the store, the daemons and the servers lived on; the first run of the soak left 14 of them. Tried with a build folder without the daemon: before, the store stand-in lives on; after, none is left, and the exit status is 2.

--- a/standins/FaultSoak.cpp
+++ b/standins/FaultSoak.cpp
@@ -417,10 +417,16 @@
   absl::ParseCommandLine(aArgumentCount, aArguments);
   size_t broken = 0;
   int seeds = absl::GetFlag(FLAGS_seeds);
-  for (int i = 0; i < seeds; ++i) {
-    uint64_t seed = absl::GetFlag(FLAGS_seed) + static_cast<uint64_t>(i);
-    std::cout << "seed " << seed << std::endl;
-    broken += Soak(seed).Run().size();
+  try {
+    for (int i = 0; i < seeds; ++i) {
+      uint64_t seed = absl::GetFlag(FLAGS_seed) + static_cast<uint64_t>(i);
+      std::cout << "seed " << seed << std::endl;
+      broken += Soak(seed).Run().size();
+    }
+  } catch (const std::exception& error) {
+    // Caught here, so that the cluster's destructor ends its processes.
+    std::cerr << "the soak cannot go on: " << error.what() << "\n";
+    return 2;
   }
   std::cout << seeds << " seeds, " << broken << " broken promises" << std::endl;
   return broken == 0 ? 0 : 1;
