Keep a subscription's state with its agent, not in a second map

ListeningPlan held a map of what it had sent beside the list of agents, cleaned it with a look-up for each entry, and compared names of failure domains, ten times a second: 3,016 us a call at 14,000 agents, 3% of a core. KnownAgent now holds the last subscription and whether it is near, so that the plan is one function without state, TakeDueSubscriptions. Unlisted agents, which are forgotten after 10 s, are looked for ten times a second instead of fifty. The time since an agent's last sign stood in three places and is KnownAgent::Silence now.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kFirstReportLimit = Milliseconds(600);
 /** Silence after which an unlisted agent is forgotten. */
 constexpr Duration kForgetAfter = Seconds(10);
+/** Time between two looks for such agents; each looks at all agents. */
+constexpr Duration kForgetEvery = Milliseconds(100);
 
 } // namespace
 
@@ -45,6 +47,7 @@
     agent = KnownAgent{};
     agent.m_entry = aEntry;
     agent.m_serviceTag = ServiceTag(aEntry.m_service);
+    agent.m_isNear = aEntry.m_domain == m_ownDomain;
     agent.m_knownSince = aNow;
     m_byService[aEntry.m_service].insert(ip);
   }
@@ -91,16 +94,21 @@
   aAgent.m_load.m_slots = std::max<uint32_t>(aLoad.m_slots, 1);
 }
 
-// When the pace changes, the agent still keeps to the earlier one until it
-// has the subscription.
 void
-AgentList::OnSubscribed(uint32_t aAgentIp, const ReportPace& aPace)
+AgentList::OnSubscribed(TimePoint aNow,
+                        uint32_t aAgentIp,
+                        const Subscribe& aMessage)
 {
   auto found = m_agents.find(aAgentIp);
-  if (found != m_agents.end()) {
-    found->second.m_silenceLimit =
-      kMissedReports * aPace.m_every + kReportLateness;
+  if (found == m_agents.end()) {
+    return;
   }
+  KnownAgent& agent = found->second;
+  agent.m_subscribed = { aNow,
+                         aMessage.m_routes.m_version,
+                         aMessage.m_agents.m_version };
+  agent.m_silenceLimit =
+    kMissedReports * aMessage.m_pace.m_every + kReportLateness;
 }
 
 void
@@ -155,10 +163,13 @@
 void
 AgentList::OnTick(TimePoint aNow)
 {
+  if (aNow < m_nextForget) {
+    return;
+  }
+  m_nextForget = aNow + kForgetEvery;
   for (auto it = m_agents.begin(); it != m_agents.end();) {
     const KnownAgent& agent = it->second;
-    TimePoint last = agent.m_heardAt.value_or(agent.m_knownSince);
-    if (agent.m_isListed || aNow - last <= kForgetAfter) {
+    if (agent.m_isListed || agent.Silence(aNow) <= kForgetAfter) {
       ++it;
       continue;
     }
@@ -198,7 +209,7 @@
       continue;
     }
     candidates.push_back({ ip,
-                           IsNear(agent),
+                           agent.m_isNear,
                            agent.m_load.m_busy,
                            agent.m_load.m_slots,
                            agent.m_load.m_answerUs });
@@ -248,8 +259,7 @@
     return silent;
   }
   for (const auto& [ip, agent] : m_agents) {
-    TimePoint last = agent.m_heardAt.value_or(agent.m_knownSince);
-    if (agent.m_isListed && aNow - last > aFor) {
+    if (agent.m_isListed && agent.Silence(aNow) > aFor) {
       silent.push_back(ip);
     }
   }
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -20,11 +20,22 @@
   bool operator==(const AgentEntry&) const = default;
 };
 
+/** The last subscription that a balancer sent to an agent. */
+struct SentSubscription
+{
+  TimePoint m_at;
+  /** Versions that the agent was told. */
+  uint64_t m_routes = 0;
+  uint64_t m_listed = 0;
+};
+
 /** An agent as one balancer sees it. */
 struct KnownAgent
 {
   AgentEntry m_entry;
   uint32_t m_serviceTag = 0;
+  /** It is in this balancer's failure domain. */
+  bool m_isNear = false;
   bool m_isListed = false;
   TimePoint m_knownSince;
   /** Time of the last report; nothing before the first one. */
@@ -32,6 +43,13 @@
   /** Silence after which it gets no new flows. */
   Duration m_silenceLimit{ 0 };
   ServerLoad m_load;
+  std::optional<SentSubscription> m_subscribed;
+
+  /** Time since its last report, or since it became known. */
+  Duration Silence(TimePoint aNow) const
+  {
+    return aNow - m_heardAt.value_or(m_knownSince);
+  }
 };
 
 /** What a balancer knows of all agents: the store's list and their reports. */
@@ -58,8 +76,10 @@
   /** Load of an agent that reported before; others are ignored. */
   void OnLoad(TimePoint aNow, uint32_t aAgentIp, const ServerLoad& aLoad);
 
-  /** The pace at which an agent was asked to report. */
-  void OnSubscribed(uint32_t aAgentIp, const ReportPace& aPace);
+  /** An agent was asked to report at a pace. */
+  void OnSubscribed(TimePoint aNow,
+                    uint32_t aAgentIp,
+                    const Subscribe& aMessage);
 
   /** An agent handed an opening packet back. */
   void OnHandBack(uint32_t aAgentIp, HandBack aReason, uint32_t aBusy);
@@ -85,12 +105,6 @@
   /** Agents that a flow of a service may be at, whatever their condition. */
   const std::set<uint32_t>& AgentsOf(const std::string& aService) const;
 
-  /** True for an agent in this balancer's failure domain. */
-  bool IsNear(const KnownAgent& aAgent) const
-  {
-    return aAgent.m_entry.m_domain == m_ownDomain;
-  }
-
   const KnownAgent* Find(uint32_t aAgentIp) const;
   const std::map<uint32_t, KnownAgent>& All() const { return m_agents; }
 
@@ -117,6 +131,7 @@
 
   std::string m_ownDomain;
   uint64_t m_revision = 0;
+  TimePoint m_nextForget;
   std::map<uint32_t, KnownAgent> m_agents;
   /** Addresses of the agents of each service, in order. */
   std::map<std::string, std::set<uint32_t>> m_byService;
--- a/packages/flow/ListeningPlan.cpp
+++ b/packages/flow/ListeningPlan.cpp
@@ -70,7 +70,7 @@
 {
   return static_cast<size_t>(
     std::count_if(aAgents.All().begin(), aAgents.All().end(), [&](auto& aItem) {
-      return aAgents.IsNear(aItem.second);
+      return aItem.second.m_isNear;
     }));
 }
 
@@ -78,22 +78,37 @@
 bool
 IsAwaited(TimePoint aNow, const KnownAgent& aAgent)
 {
-  Duration silence = aNow - aAgent.m_heardAt.value_or(aAgent.m_knownSince);
+  Duration silence = aAgent.Silence(aNow);
   Duration expected = aAgent.m_silenceLimit / 2;
   return silence > expected && silence < expected + kAwaitedFor;
 }
 
+bool
+IsDue(TimePoint aNow,
+      const KnownAgent& aAgent,
+      const SentSubscription& aNext,
+      size_t aAllAgents)
+{
+  if (!aAgent.m_subscribed) {
+    return true;
+  }
+  const SentSubscription& sent = *aAgent.m_subscribed;
+  Duration since = aNow - sent.m_at;
+  bool isNews =
+    sent.m_routes != aNext.m_routes || sent.m_listed != aNext.m_listed;
+  return since >= RepeatAfter(aAllAgents) || (isNews && since >= kNewsEvery) ||
+         (since >= AskAgainAfter(aAllAgents) && IsAwaited(aNow, aAgent));
+}
+
 } // namespace
 
 std::vector<DueSubscription>
-ListeningPlan::OnTick(TimePoint aNow,
-                      AgentList& aAgents,
-                      const VersionHolder& aRoutes,
-                      const VersionHolder& aListed)
+TakeDueSubscriptions(TimePoint aNow,
+                     AgentList& aAgents,
+                     const VersionHolder& aRoutes,
+                     const VersionHolder& aListed)
 {
-  std::erase_if(m_sent, [&](const auto& aItem) {
-    return aAgents.Find(aItem.first) == nullptr;
-  });
+  SentSubscription next{ aNow, aRoutes.m_version, aListed.m_version };
   size_t all = aAgents.All().size();
   size_t near = CountNear(aAgents);
   std::vector<DueSubscription> due;
@@ -101,18 +116,12 @@
     if (due.size() == kMostInATick) {
       break;
     }
-    Sent next{ aNow, aRoutes.m_version, aListed.m_version };
-    auto [sent, isNew] = m_sent.try_emplace(ip, next);
-    Duration since = aNow - sent->second.m_at;
-    bool isNews = !sent->second.TellsSameAs(next) && since >= kNewsEvery;
-    bool isAwaited = IsAwaited(aNow, agent) && since >= AskAgainAfter(all);
-    if (!isNew && !isNews && !isAwaited && since < RepeatAfter(all)) {
+    if (!IsDue(aNow, agent, next, all)) {
       continue;
     }
-    sent->second = next;
-    bool isNear = aAgents.IsNear(agent);
     Subscribe message;
-    message.m_pace = PaceFor(isNear, isNear ? near : all - near, all);
+    message.m_pace =
+      PaceFor(agent.m_isNear, agent.m_isNear ? near : all - near, all);
     message.m_routes = aRoutes;
     message.m_agents = aListed;
     message.m_isListed = agent.m_isListed;
@@ -120,7 +129,7 @@
     due.push_back({ ip, message });
   }
   for (const DueSubscription& subscription : due) {
-    aAgents.OnSubscribed(subscription.m_agentIp, subscription.m_message.m_pace);
+    aAgents.OnSubscribed(aNow, subscription.m_agentIp, subscription.m_message);
   }
   return due;
 }
--- a/packages/flow/ListeningPlan.h
+++ b/packages/flow/ListeningPlan.h
@@ -11,38 +11,18 @@
   Subscribe m_message;
 };
 
+/** Time between two calls of TakeDueSubscriptions. */
+inline constexpr Duration kListeningTick = Milliseconds(100);
+
 /**
- * Decides when a balancer subscribes to which agents, and at what pace they
- * report, so that what it hears in a second stays within a bound however many
- * agents there are.
+ * The agents that a balancer has to subscribe to now, and the pace at which
+ * each shall report, so that what it hears in a second stays within a bound
+ * however many agents there are. Each is noted in the list as sent.
  */
-class ListeningPlan
-{
-public:
-  /** Subscriptions that are due; to be called every kTick. The list of agents
-   * learns the pace of each. */
-  std::vector<DueSubscription> OnTick(TimePoint aNow,
-                                      AgentList& aAgents,
-                                      const VersionHolder& aRoutes,
-                                      const VersionHolder& aListed);
-
-  static constexpr Duration kTick = Milliseconds(100);
-
-private:
-  struct Sent
-  {
-    TimePoint m_at;
-    /** Versions that the agent was told. */
-    uint64_t m_routes = 0;
-    uint64_t m_listed = 0;
-
-    bool TellsSameAs(const Sent& aOther) const
-    {
-      return m_routes == aOther.m_routes && m_listed == aOther.m_listed;
-    }
-  };
-
-  std::map<uint32_t, Sent> m_sent;
-};
+std::vector<DueSubscription>
+TakeDueSubscriptions(TimePoint aNow,
+                     AgentList& aAgents,
+                     const VersionHolder& aRoutes,
+                     const VersionHolder& aListed);
 
 } // namespace bilberryfield
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "AgentEntryCodec.h"
 #include "HttpPaths.h"
+#include "ListeningPlan.h"
 #include "Log.h"
 #include "MetricsText.h"
 #include "OperatorConfig.h"
@@ -113,7 +114,7 @@
   }
   m_loop.Every(FlowBalancer::kTick, [this] { OnTick(); });
   m_loop.Every(kAskPeersEvery, [this] { AskPeers(); });
-  m_loop.Every(ListeningPlan::kTick, [this] { SubscribeToAgents(); });
+  m_loop.Every(kListeningTick, [this] { SubscribeToAgents(); });
   m_loop.Every(Seconds(1), LogWhatWasLeftOut);
   m_loop.After(m_settings.m_staleEntryAfter, [this] { RemoveStaleEntries(); });
   m_routesFollower.Start();
@@ -432,10 +433,10 @@
 {
   const Endpoint& self = m_settings.m_adminListen;
   std::vector<DueSubscription> due =
-    m_listening.OnTick(FlowLoop::Now(),
-                       m_core.Agents(),
-                       { m_core.RoutesVersion(), self },
-                       { m_core.Agents().Revision(), self });
+    TakeDueSubscriptions(FlowLoop::Now(),
+                         m_core.Agents(),
+                         { m_core.RoutesVersion(), self },
+                         { m_core.Agents().Revision(), self });
   for (const DueSubscription& subscription : due) {
     m_control.Send(subscription.m_agentIp, subscription.m_message);
   }
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -5,7 +5,6 @@
 #include "FlowBalancer.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
-#include "ListeningPlan.h"
 #include "PeerSync.h"
 #include "StoreFollower.h"
 
@@ -57,7 +56,6 @@
   FlowBalancer m_core;
   StoreFollower m_routesFollower;
   StoreFollower m_agentsFollower;
-  ListeningPlan m_listening;
   PeerNews m_peerNews;
   PeerSync m_peerSync;
   /** The configuration in force, as the operator stored it. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -87,7 +87,6 @@
 {
   aBalancer.m_core =
     std::make_unique<FlowBalancer>(aBalancer.m_domain, m_random());
-  aBalancer.m_listening = {};
   if (m_routes) {
     aBalancer.m_core->SetRoutes(m_routes);
   }
@@ -269,8 +268,8 @@
 FakeFlowNet::SubscribeFrom(Node& aBalancer)
 {
   VersionHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
-  for (const DueSubscription& due : aBalancer.m_listening.OnTick(
-         m_now, aBalancer.m_core->Agents(), routes, {})) {
+  for (const DueSubscription& due :
+       TakeDueSubscriptions(m_now, aBalancer.m_core->Agents(), routes, {})) {
     Travel([this, due, ip = aBalancer.m_ip] {
       Server& server = m_servers.at(due.m_agentIp);
       if (!server.m_isGone) {
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -127,7 +127,6 @@
     uint32_t m_ip = 0;
     std::string m_domain;
     std::unique_ptr<FlowBalancer> m_core;
-    ListeningPlan m_listening;
   };
   struct Event
   {
--- a/test/correctness/Listening.cpp
+++ b/test/correctness/Listening.cpp
@@ -60,12 +60,11 @@
   std::vector<DueSubscription> Pass(Duration aTime, bool aDoReport = false)
   {
     std::vector<DueSubscription> all;
-    for (TimePoint end = m_now + aTime; m_now < end;
-         m_now += ListeningPlan::kTick) {
+    for (TimePoint end = m_now + aTime; m_now < end; m_now += kListeningTick) {
       if (aDoReport) {
         ReportFromAll();
       }
-      for (auto& due : m_plan.OnTick(m_now, m_agents, m_routes, {})) {
+      for (auto& due : TakeDueSubscriptions(m_now, m_agents, m_routes, {})) {
         all.push_back(due);
       }
     }
@@ -75,7 +74,6 @@
   TimePoint m_now = kStart;
   std::vector<AgentEntry> m_entries;
   AgentList m_agents{ "here" };
-  ListeningPlan m_plan;
   VersionHolder m_routes{ 1, {} };
 };
 
@@ -142,11 +140,11 @@
 {
   AgentList agents("here");
   agents.SetListed(kStart, 1, Entries(3000, 1000));
-  ListeningPlan plan;
   std::set<uint32_t> asked;
   for (int i = 0; i < 60; ++i) {
-    TimePoint now = kStart + i * ListeningPlan::kTick;
-    std::vector<DueSubscription> due = plan.OnTick(now, agents, {}, {});
+    TimePoint now = kStart + i * kListeningTick;
+    std::vector<DueSubscription> due =
+      TakeDueSubscriptions(now, agents, {}, {});
     cr_assert_leq(due.size(), 100);
     for (const DueSubscription& subscription : due) {
       asked.insert(subscription.m_agentIp);
--- a/test/correctness/Pauses.cpp
+++ b/test/correctness/Pauses.cpp
@@ -45,7 +45,7 @@
   routes->m_routes[kDesk] = { "desk", kDesk, { { "desk", 1 } }, 1, {} };
   balancer->SetRoutes(routes);
   balancer->Agents().SetListed(kStart, 1, { { "desk", "a", kPackets } });
-  balancer->Agents().OnSubscribed(kAgent, ReportPace{});
+  balancer->Agents().OnSubscribed(kStart, kAgent, Subscribe{});
   balancer->Agents().OnReport(kStart, ReadyReport());
   balancer->OnTick(kStart);
   return balancer;
--- a/test/correctness/SilentAgents.cpp
+++ b/test/correctness/SilentAgents.cpp
@@ -46,7 +46,9 @@
     m_balancer.SetRoutes(routes);
     for (uint32_t ip : { kFirst, kSecond }) {
       m_balancer.Agents().OnReport(m_now, ReadyReport(ip));
-      m_balancer.Agents().OnSubscribed(ip, { kPace, kPace, kPace, kPace });
+      Subscribe message;
+      message.m_pace = { kPace, kPace, kPace, kPace };
+      m_balancer.Agents().OnSubscribed(m_now, ip, message);
     }
   }
 
--- a/test/performance/FlowCosts.cpp
+++ b/test/performance/FlowCosts.cpp
@@ -7,6 +7,7 @@
 #include "FlowBalancer.h"
 #include "FlowCodec.h"
 #include "FlowLoop.h"
+#include "ListeningPlan.h"
 #include "PacketCodec.h"
 
 #include <arpa/inet.h>
@@ -145,6 +146,20 @@
   Print(aName + ", at a balancer", 1, time, "us");
 }
 
+// Ten times a second, while no subscription is due.
+void
+MeasureSubscribing(const nlohmann::json& aAt, LoadedBalancer& aBalancer)
+{
+  auto tick = [&](auto) {
+    return TakeDueSubscriptions(
+             aBalancer.Now(), aBalancer.Core().Agents(), { 1, {} }, { 1, {} })
+      .size();
+  };
+  while (tick(0) > 0) {
+  }
+  Print("tick of the subscriptions", aAt, MicrosecondsPerCall(100, tick), "us");
+}
+
 void
 MeasureBalancer(size_t aAgents, size_t aAgentsOfAService)
 {
@@ -177,10 +192,14 @@
         MicrosecondsPerCall(
           kFlows, [&](auto aFlow) { PassThrough(balancer, packets[aFlow]); }),
         "us");
+  MeasureSubscribing(at, balancer);
   Print("tick of a balancer",
         at,
-        MicrosecondsPerCall(
-          100, [&](auto) { balancer.Core().OnTick(balancer.Now()); }),
+        MicrosecondsPerCall(100,
+                            [&](size_t aTick) {
+                              balancer.Core().OnTick(
+                                balancer.Now() + aTick * FlowBalancer::kTick);
+                            }),
         "us");
   MeasureReport("whole report of an agent", balancer, ReportOf(0, 0));
   MeasureReport("load report of an agent", balancer, ReportOf(0, 0).m_load);
