Look an agent up once for each packet at a balancer

A packet of a known flow looked its agent up twice, a placed one three times: before Forward, in it, and for the log's inputs. Forward now takes the agent. The agents to ask for a flow are gathered by distinct services instead of comparing each with all before it, and SetRoutes loses two levels of loops.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -33,24 +33,28 @@
     return false;
   }
   if (m_routes) {
-    for (const auto& [address, route] : m_routes->m_routes) {
-      const Route* next = aRoutes->Find(address);
-      if (!next || next->m_targets == route.m_targets) {
-        continue;
-      }
-      for (const RouteTarget& target : route.m_targets) {
-        auto& earlier = m_earlierServices[address];
-        if (std::find(earlier.begin(), earlier.end(), target.m_service) ==
-            earlier.end()) {
-          earlier.push_back(target.m_service);
-        }
-      }
-    }
+    RememberTargets(*m_routes, *aRoutes);
   }
   m_routes = std::move(aRoutes);
   return true;
 }
 
+// Flows that were opened under the earlier routes stay where they are.
+void
+FlowBalancer::RememberTargets(const RouteTable& aEarlier,
+                              const RouteTable& aNext)
+{
+  for (const auto& [address, route] : aEarlier.m_routes) {
+    const Route* next = aNext.Find(address);
+    if (!next || next->m_targets == route.m_targets) {
+      continue;
+    }
+    for (const RouteTarget& target : route.m_targets) {
+      m_earlierServices[address].insert(target.m_service);
+    }
+  }
+}
+
 void
 FlowBalancer::Add(FlowBalancerAction aAction,
                   FlowReason aReason,
@@ -68,19 +72,14 @@
 
 void
 FlowBalancer::Forward(const FlowKey& aFlow,
-                      uint32_t aAgentIp,
+                      const KnownAgent& aAgent,
                       FlowReason aReason)
 {
-  const KnownAgent* agent = m_agents.Find(aAgentIp);
-  if (!agent) {
-    Add(FlowBalancerAction::Drop, FlowReason::Unowned, aFlow);
-    return;
-  }
   Add(FlowBalancerAction::Forward, aReason, aFlow);
   BalancerStep& step = m_steps.back();
-  step.m_agentIp = aAgentIp;
-  step.m_packets = agent->m_entry.m_packets;
-  step.m_tag = agent->m_serviceTag;
+  step.m_packets = aAgent.m_entry.m_packets;
+  step.m_agentIp = step.m_packets.m_ip;
+  step.m_tag = aAgent.m_serviceTag;
 }
 
 const std::vector<BalancerStep>&
@@ -111,24 +110,24 @@
     return m_steps;
   }
   Flow* flow = m_flows.Find(key);
+  const KnownAgent* agent = flow ? m_agents.Find(flow->m_agentIp) : nullptr;
   if (!aHeader.IsOpening()) {
-    if (flow && m_agents.Find(flow->m_agentIp)) {
-      Forward(key, flow->m_agentIp, FlowReason::Known);
+    if (agent) {
+      Forward(key, *agent, FlowReason::Known);
     } else {
       SearchFor(aNow, aHeader, aBytes, *route, 0);
     }
     return m_steps;
   }
-  bool isCopy = flow && flow->m_sawOpening && flow->m_openSeq == aHeader.m_seq;
-  const KnownAgent* agent = isCopy ? m_agents.Find(flow->m_agentIp) : nullptr;
-  if (agent && m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
+  bool isCopy = agent && flow->m_sawOpening && flow->m_openSeq == aHeader.m_seq;
+  if (isCopy && m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
     // The first copy, or its answer, was lost on the way.
-    Forward(key, flow->m_agentIp, FlowReason::Known);
+    Forward(key, *agent, FlowReason::Known);
     m_steps.back().m_mark = kAnyQueue;
     return m_steps;
   }
   Flow opened = Opened(aHeader.m_seq);
-  if (agent) {
+  if (isCopy) {
     opened.m_tried[opened.m_tryCount++] = agent->m_entry.m_packets.m_ip;
   }
   m_flows.Insert(key, opened);
@@ -165,14 +164,19 @@
   if (!choice) {
     return RefuseOpening(aNow, aHeader, service);
   }
-  uint32_t agentIp = candidates[choice->m_index].m_agentIp;
-  flow->m_agentIp = agentIp;
+  const PlacementCandidate& chosen = candidates[choice->m_index];
+  const KnownAgent& agent = *m_agents.Find(chosen.m_agentIp);
+  flow->m_agentIp = chosen.m_agentIp;
   flow->m_placedAt = aNow;
-  m_agents.OnPlaced(agentIp);
-  Forward(
-    key, agentIp, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
-  NoteInputs(aNow, candidates[choice->m_index], candidates.size());
-  m_steps.back().m_mark =
+  m_agents.OnPlaced(chosen.m_agentIp);
+  Forward(key, agent, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
+  BalancerStep& step = m_steps.back();
+  step.m_candidates = static_cast<uint32_t>(candidates.size());
+  step.m_busy = chosen.m_busy;
+  if (agent.m_heardAt) {
+    step.m_loadAge = aNow - *agent.m_heardAt;
+  }
+  step.m_mark =
     flow->m_tryCount < kTriesWithLimit ? choice->m_busyLimit : kAnyQueue;
 }
 
@@ -192,20 +196,6 @@
       aHeader.m_ack);
 }
 
-void
-FlowBalancer::NoteInputs(TimePoint aNow,
-                         const PlacementCandidate& aChosen,
-                         size_t aCount)
-{
-  BalancerStep& step = m_steps.back();
-  step.m_candidates = static_cast<uint32_t>(aCount);
-  step.m_busy = aChosen.m_busy;
-  const KnownAgent* agent = m_agents.Find(aChosen.m_agentIp);
-  if (agent && agent->m_heardAt) {
-    step.m_loadAge = aNow - *agent->m_heardAt;
-  }
-}
-
 const std::vector<BalancerStep>&
 FlowBalancer::OnHandedBack(TimePoint aNow,
                            const PacketHeader& aHeader,
@@ -260,22 +250,20 @@
 {
   SearchScope scope;
   scope.m_isWhole = IsAgentListWhole(aNow);
-  std::vector<uint32_t>& agents = scope.m_agents;
-  auto add = [&](const std::string& aService) {
-    for (uint32_t ip : m_agents.AgentsOf(aService)) {
-      if (ip != aExceptIp &&
-          std::find(agents.begin(), agents.end(), ip) == agents.end()) {
-        agents.push_back(ip);
-      }
-    }
-  };
+  // An agent has one service, so agents of different services differ.
+  std::set<std::string> services;
   for (const RouteTarget& target : aRoute.m_targets) {
-    add(target.m_service);
+    services.insert(target.m_service);
   }
   auto earlier = m_earlierServices.find(aRoute.m_address);
   if (earlier != m_earlierServices.end()) {
-    for (const std::string& service : earlier->second) {
-      add(service);
+    services.insert(earlier->second.begin(), earlier->second.end());
+  }
+  for (const std::string& service : services) {
+    for (uint32_t ip : m_agents.AgentsOf(service)) {
+      if (ip != aExceptIp) {
+        scope.m_agents.push_back(ip);
+      }
     }
   }
   return scope;
@@ -332,10 +320,15 @@
   Flow flow;
   flow.m_agentIp = aStep.m_agentIp;
   m_flows.Insert(aStep.m_flow, flow);
+  const KnownAgent* agent = m_agents.Find(aStep.m_agentIp);
   for (std::vector<uint8_t>& packet : aStep.m_held) {
-    Forward(aStep.m_flow,
-            aStep.m_agentIp,
-            isFound ? FlowReason::Found : FlowReason::Tried);
+    if (!agent) {
+      // It left the list while it was asked.
+      Add(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
+      continue;
+    }
+    Forward(
+      aStep.m_flow, *agent, isFound ? FlowReason::Found : FlowReason::Tried);
     m_steps.back().m_held = std::move(packet);
   }
 }
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -153,10 +153,8 @@
     std::array<uint32_t, kMaxTries> m_tried{};
   };
 
-  /** What the last step was decided on, for the log. */
-  void NoteInputs(TimePoint aNow,
-                  const PlacementCandidate& aChosen,
-                  size_t aCount);
+  /** Keeps the services whose flows an address may still lead to. */
+  void RememberTargets(const RouteTable& aEarlier, const RouteTable& aNext);
   /** A new flow that has no agent yet. */
   static Flow Opened(uint32_t aSeq);
   void PlaceOpening(TimePoint aNow,
@@ -178,7 +176,9 @@
                       uint32_t aExceptIp) const;
   void Follow(TimePoint aNow, SearchStep aStep);
   bool IsAgentListWhole(TimePoint aNow) const;
-  void Forward(const FlowKey& aFlow, uint32_t aAgentIp, FlowReason aReason);
+  void Forward(const FlowKey& aFlow,
+               const KnownAgent& aAgent,
+               FlowReason aReason);
   void Add(FlowBalancerAction aAction,
            FlowReason aReason,
            const FlowKey& aFlow,
@@ -189,7 +189,7 @@
   std::mt19937_64 m_random;
   RouteTablePointer m_routes;
   /** Services that an address led to before, by address. */
-  absl::flat_hash_map<Endpoint, std::vector<std::string>> m_earlierServices;
+  absl::flat_hash_map<Endpoint, std::set<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
   FlowSearches m_searches;
   LatencyHistogram m_searchTimes;
