Make a log line's fields only when the line is written

Each event of a packet built its JSON fields before the budget of 100 lines a second was asked; above that rate all of it was thrown away, on the path of new flows. Log takes a function for such events now. What is written and counted stays the same.

--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -181,13 +181,14 @@
   if (!aHeader.IsOpening() && !isHandedBack) {
     return;
   }
-  Log(LogLevel::Info,
-      isHandedBack ? "handing-back" : "opening",
-      { { "flow", ToText(aHeader.FlowFromCaller()) },
-        { "balancer", IpToText(aBalancerIp) },
-        { "reason", NameOf(kHandBackNames, aVerdict.m_reason) },
-        { "busy", m_core.BusyFlows() },
-        { "slots", m_core.Load().m_slots } });
+  Log(LogLevel::Info, isHandedBack ? "handing-back" : "opening", [&] {
+    return nlohmann::json{ { "flow", ToText(aHeader.FlowFromCaller()) },
+                           { "balancer", IpToText(aBalancerIp) },
+                           { "reason",
+                             NameOf(kHandBackNames, aVerdict.m_reason) },
+                           { "busy", m_core.BusyFlows() },
+                           { "slots", m_core.Load().m_slots } };
+  });
 }
 
 HttpOutgoing
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -291,11 +291,11 @@
   }
   auto reason = static_cast<HandBack>(header->m_mark);
   m_handedBack[static_cast<size_t>(reason)] += 1;
-  Log(LogLevel::Info,
-      "handed-back",
-      { { "flow", ToText(header->FlowFromCaller()) },
-        { "agent", IpToText(aFrom.m_ip) },
-        { "reason", NameOf(kHandBackNames, reason) } });
+  Log(LogLevel::Info, "handed-back", [&] {
+    return nlohmann::json{ { "flow", ToText(header->FlowFromCaller()) },
+                           { "agent", IpToText(aFrom.m_ip) },
+                           { "reason", NameOf(kHandBackNames, reason) } };
+  });
   Execute(
     m_core.OnHandedBack(FlowLoop::Now(), *header, aBytes, aFrom.m_ip, reason),
     aBytes);
@@ -356,12 +356,9 @@
   m_handBack->Send(bytes, aStep.m_packets);
 }
 
-void
-BalancerDaemon::LogStep(const BalancerStep& aStep)
+nlohmann::json
+BalancerDaemon::FieldsOf(const BalancerStep& aStep) const
 {
-  if (aStep.m_reason == FlowReason::Known) {
-    return;
-  }
   nlohmann::json fields = {
     { "flow", ToText(aStep.m_flow) },
     { "reason", NameOf(kFlowReasonNames, aStep.m_reason) },
@@ -381,11 +378,22 @@
   if (aStep.m_loadAge) {
     fields["load_age_ms"] = ToMilliseconds(*aStep.m_loadAge);
   }
+  return fields;
+}
+
+void
+BalancerDaemon::LogStep(const BalancerStep& aStep)
+{
+  if (aStep.m_reason == FlowReason::Known) {
+    return;
+  }
   // Refusals have an event of their own, so that placements cannot use up
   // their budget of lines.
   bool isLoss = aStep.m_action == FlowBalancerAction::Reset ||
                 aStep.m_action == FlowBalancerAction::Drop;
-  Log(LogLevel::Info, isLoss ? "flow-refused" : "flow", fields);
+  Log(LogLevel::Info, isLoss ? "flow-refused" : "flow", [&] {
+    return FieldsOf(aStep);
+  });
 }
 
 HttpOutgoing
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -43,6 +43,8 @@
                std::span<uint8_t> aBytes);
   void SendForward(const BalancerStep& aStep, std::span<uint8_t> aBytes);
   void LogStep(const BalancerStep& aStep);
+  /** Fields of the log line of a step. */
+  nlohmann::json FieldsOf(const BalancerStep& aStep) const;
   HttpOutgoing Metrics() const;
   void OnTick();
   void SubscribeToAgents();
--- a/packages/runtime/Log.cpp
+++ b/packages/runtime/Log.cpp
@@ -66,26 +66,6 @@
   return logger;
 }
 
-void
-WriteLine(LogLevel aLevel,
-          const std::string& aEvent,
-          const nlohmann::json& aFields)
-{
-  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-    std::chrono::system_clock::now().time_since_epoch());
-  nlohmann::ordered_json line = { { "time_ms", now.count() },
-                                  { "level", NameOf(kLogLevelNames, aLevel) },
-                                  { "process", ProcessName() },
-                                  { "event", aEvent } };
-  for (const auto& [key, value] : aFields.items()) {
-    line[key] = value;
-  }
-  LOG4CXX_LOG(
-    TheLogger(),
-    LevelOf(aLevel),
-    line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-}
-
 } // namespace
 
 void
@@ -110,21 +90,47 @@
 LogWhatWasLeftOut()
 {
   for (const auto& [event, count] : Budget().TakeLeftOut()) {
-    WriteLine(LogLevel::Warning,
-              "lines-left-out",
-              { { "of", event }, { "lines", count } });
+    WriteLogLine(LogLevel::Warning,
+                 "lines-left-out",
+                 { { "of", event }, { "lines", count } });
   }
   if (uint64_t dropped = Appender()->TakeDropped()) {
-    WriteLine(LogLevel::Warning, "lines-dropped", { { "lines", dropped } });
+    WriteLogLine(LogLevel::Warning, "lines-dropped", { { "lines", dropped } });
   }
 }
 
+bool
+TakeLogLine(LogLevel aLevel, const std::string& aEvent)
+{
+  return TheLogger()->isEnabledFor(LevelOf(aLevel)) &&
+         Budget().Take(SteadyNow(), aEvent);
+}
+
+void
+WriteLogLine(LogLevel aLevel,
+             const std::string& aEvent,
+             const nlohmann::json& aFields)
+{
+  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  nlohmann::ordered_json line = { { "time_ms", now.count() },
+                                  { "level", NameOf(kLogLevelNames, aLevel) },
+                                  { "process", ProcessName() },
+                                  { "event", aEvent } };
+  for (const auto& [key, value] : aFields.items()) {
+    line[key] = value;
+  }
+  LOG4CXX_LOG(
+    TheLogger(),
+    LevelOf(aLevel),
+    line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
 void
 Log(LogLevel aLevel, const std::string& aEvent, const nlohmann::json& aFields)
 {
-  bool isWanted = TheLogger()->isEnabledFor(LevelOf(aLevel));
-  if (isWanted && Budget().Take(SteadyNow(), aEvent)) {
-    WriteLine(aLevel, aEvent, aFields);
+  if (TakeLogLine(aLevel, aEvent)) {
+    WriteLogLine(aLevel, aEvent, aFields);
   }
 }
 
--- a/packages/runtime/Log.h
+++ b/packages/runtime/Log.h
@@ -2,6 +2,7 @@
 
 #include "NameTable.h"
 
+#include <concepts>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -47,4 +48,30 @@
     const std::string& aEvent,
     const nlohmann::json& aFields = nlohmann::json::object());
 
+/**
+ * True when a line of the event is to be written now; it then counts as
+ * written. False when its level or its budget leaves it out.
+ */
+bool
+TakeLogLine(LogLevel aLevel, const std::string& aEvent);
+
+/** Writes a line for which TakeLogLine was true. */
+void
+WriteLogLine(LogLevel aLevel,
+             const std::string& aEvent,
+             const nlohmann::json& aFields);
+
+/**
+ * Log for events of single packets: the fields are made only when the line is
+ * written.
+ */
+template<std::invocable MakeFields>
+void
+Log(LogLevel aLevel, const std::string& aEvent, MakeFields aMakeFields)
+{
+  if (TakeLogLine(aLevel, aEvent)) {
+    WriteLogLine(aLevel, aEvent, aMakeFields());
+  }
+}
+
 } // namespace bilberryfield
