--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -163,10 +163,11 @@
     m_malformed += 1;
     return;
   }
+  TimePoint now = FlowLoop::Now();
   AgentVerdict verdict =
-    m_core.OnBalancerPacket(FlowLoop::Now(), *header, aBytes, aFrom.m_ip);
+    m_core.OnBalancerPacket(now, *header, aBytes, aFrom.m_ip);
   LogOpening(verdict, *header, aFrom.m_ip);
-  NoteForJournal(verdict, *header);
+  NoteForJournal(now, verdict, *header, header->FlowFromCaller());
   Execute(verdict, *header, aBytes, aFrom.m_ip);
 }
 
@@ -218,33 +219,31 @@
   if (!header) {
     return;
   }
-  AgentVerdict verdict = m_core.OnServerPacket(FlowLoop::Now(), *header);
-  if (verdict.m_isLast) {
-    m_journal.OnEnded(FlowLoop::Now(), header->FlowFromServer());
-  }
-  if (verdict.m_action == FlowAgentAction::HandBack && header->IsOpening()) {
-    m_journal.OnRefused(
-      FlowLoop::Now(), header->FlowFromCaller(), verdict.m_reason);
-  }
+  TimePoint now = FlowLoop::Now();
+  AgentVerdict verdict = m_core.OnServerPacket(now, *header);
+  // What the server sends back is a caller's packet.
+  FlowKey flow =
+    header->Has(kBounced) ? header->FlowFromCaller() : header->FlowFromServer();
+  NoteForJournal(now, verdict, *header, flow);
   Execute(verdict, *header, aBytes, header->m_tag);
 }
 
 void
-AgentDaemon::NoteForJournal(const AgentVerdict& aVerdict,
-                            const PacketHeader& aHeader)
+AgentDaemon::NoteForJournal(TimePoint aNow,
+                            const AgentVerdict& aVerdict,
+                            const PacketHeader& aHeader,
+                            const FlowKey& aFlow)
 {
-  TimePoint now = FlowLoop::Now();
-  FlowKey flow = aHeader.FlowFromCaller();
   if (aVerdict.m_isLast) {
-    m_journal.OnEnded(now, flow);
+    m_journal.OnEnded(aNow, aFlow);
   }
   if (!aHeader.IsOpening()) {
     return;
   }
   if (aVerdict.m_action == FlowAgentAction::Deliver) {
-    m_journal.OnOpened(now, flow);
+    m_journal.OnOpened(aNow, aFlow);
   } else if (aVerdict.m_action == FlowAgentAction::HandBack) {
-    m_journal.OnRefused(now, flow, aVerdict.m_reason);
+    m_journal.OnRefused(aNow, aFlow, aVerdict.m_reason);
   }
 }
 
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -44,8 +44,10 @@
                   const PacketHeader& aHeader,
                   uint32_t aBalancerIp);
   void OnTick();
-  void NoteForJournal(const AgentVerdict& aVerdict,
-                      const PacketHeader& aHeader);
+  void NoteForJournal(TimePoint aNow,
+                      const AgentVerdict& aVerdict,
+                      const PacketHeader& aHeader,
+                      const FlowKey& aFlow);
   void ContinueShutdown();
 
   FlowSettings m_settings;
