--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -4,9 +4,9 @@
 #include "HttpPaths.h"
 #include "KeyedStore.h"
 #include "OperatorConfig.h"
+#include "WaitForStore.h"
 
 #include <fstream>
-#include <future>
 #include <random>
 #include <set>
 
@@ -108,13 +108,13 @@
 
 std::string
 FlowCluster::SettingsText(const std::string& aName,
-                          const char* aRole,
+                          FlowRole aRole,
                           uint32_t aIp) const
 {
   auto at = [&](PortOffset aOffset) {
     return ToText(Endpoint{ aIp, static_cast<uint16_t>(m_port + aOffset) });
   };
-  nlohmann::json settings = { { "role", aRole },
+  nlohmann::json settings = { { "role", NameOf(kFlowRoleNames, aRole) },
                               { "id", aName },
                               { "failure_domain", "a" },
                               { "packet_listen", at(kPackets) },
@@ -123,7 +123,7 @@
                               { "platform", ToText(m_link->Where()) },
                               { "control_port", m_port + kControl },
                               { "hand_back_port", m_port + kHandBack } };
-  if (aRole == NameOf(kFlowRoleNames, FlowRole::Agent)) {
+  if (aRole == FlowRole::Agent) {
     settings["server_listen"] = at(kOutbound);
     settings["server"] = at(kApp);
     settings["service"] = "desk";
@@ -194,16 +194,14 @@
 FlowCluster::StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst)
 {
   StoreClient store(m_storeAddress);
-  std::promise<bool> stored;
-  auto onEnd = [&](const Result<StoreWrite>& aWrite) {
-    stored.set_value(aWrite && aWrite->m_end == StoreWrite::End::Stored);
-  };
-  if (aIsFirst) {
-    store.Create(kConfigKind, kConfigName, aContent, onEnd);
-  } else {
-    store.Replace(kConfigKind, kConfigName, aContent, 0, onEnd);
-  }
-  return stored.get_future().get();
+  auto written = WaitForStore<StoreWrite>([&](auto aOnEnd) {
+    if (aIsFirst) {
+      store.Create(kConfigKind, kConfigName, aContent, aOnEnd);
+    } else {
+      store.Replace(kConfigKind, kConfigName, aContent, 0, aOnEnd);
+    }
+  });
+  return written && written->m_end == StoreWrite::End::Stored;
 }
 
 void
@@ -259,17 +257,15 @@
 FlowCluster::ListedAgents() const
 {
   StoreClient store(m_storeAddress);
-  std::promise<std::vector<std::string>> names;
-  store.List(kAgentKind, [&](const Result<StoreListing>& aListing) {
-    std::vector<std::string> found;
-    if (aListing) {
-      for (const auto& object : aListing->m_objects) {
-        found.push_back(object.m_name);
-      }
+  auto listing = WaitForStore<StoreListing>(
+    [&](auto aOnEnd) { store.List(kAgentKind, aOnEnd); });
+  std::vector<std::string> names;
+  if (listing) {
+    for (const StoreObject& object : listing->m_objects) {
+      names.push_back(object.m_name);
     }
-    names.set_value(std::move(found));
-  });
-  return names.get_future().get();
+  }
+  return names;
 }
 
 std::vector<std::string>
@@ -292,28 +288,28 @@
   return twice;
 }
 
+Process
+FlowCluster::RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp)
+{
+  std::string path = WriteSettings(aName, SettingsText(aName, aRole, aIp));
+  return Run(aName,
+             { m_build + "/packages/control/bilberryd", "--settings=" + path });
+}
+
 void
 FlowCluster::StartBalancer(size_t aIndex)
 {
-  std::string name = "balancer-" + std::to_string(aIndex);
-  std::string path = WriteSettings(
-    name,
-    SettingsText(
-      name, "packet-balancer", kBalancerNet + static_cast<uint32_t>(aIndex)));
-  m_balancers[aIndex] = Run(
-    name, { m_build + "/packages/control/bilberryd", "--settings=" + path });
+  m_balancers[aIndex] = RunDaemon(FlowRole::Balancer,
+                                  "balancer-" + std::to_string(aIndex),
+                                  kBalancerNet + static_cast<uint32_t>(aIndex));
 }
 
 void
 FlowCluster::StartAgent(size_t aIndex)
 {
-  std::string name = "agent-" + std::to_string(aIndex);
-  std::string path = WriteSettings(
-    name,
-    SettingsText(
-      name, "packet-agent", kServerNet + static_cast<uint32_t>(aIndex)));
-  m_agents[aIndex] = Run(
-    name, { m_build + "/packages/control/bilberryd", "--settings=" + path });
+  m_agents[aIndex] = RunDaemon(FlowRole::Agent,
+                               "agent-" + std::to_string(aIndex),
+                               kServerNet + static_cast<uint32_t>(aIndex));
 }
 
 void
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -66,10 +66,11 @@
 private:
   Process Run(const std::string& aName,
               const std::vector<std::string>& aCommand);
+  Process RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp);
   bool StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst);
   std::string WriteSettings(const std::string& aName, const std::string& aText);
   std::string SettingsText(const std::string& aName,
-                           const char* aRole,
+                           FlowRole aRole,
                            uint32_t aIp) const;
 
   std::string m_build;
