--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -1,6 +1,7 @@
 #include "BalancerNode.h"
 
 #include "CallerProtocol.h"
+#include "HttpStatus.h"
 #include "Rendezvous.h"
 #include "StatusJson.h"
 
@@ -144,15 +145,13 @@
 HttpOutgoing
 BalancerNode::HealthAnswer() const
 {
-  constexpr uint16_t kOk = 200;
-  constexpr uint16_t kUnavailable = 503;
   if (m_isDraining) {
-    return { kUnavailable, {}, "text/plain", "draining\n" };
+    return { kHttpUnavailable, {}, "text/plain", "draining\n" };
   }
   if (!m_isReady) {
-    return { kUnavailable, {}, "text/plain", "starting\n" };
+    return { kHttpUnavailable, {}, "text/plain", "starting\n" };
   }
-  return { kOk, {}, "text/plain", "ready\n" };
+  return { kHttpOk, {}, "text/plain", "ready\n" };
 }
 
 void
--- a/packages/balancer/CallerProtocol.cpp
+++ b/packages/balancer/CallerProtocol.cpp
@@ -1,5 +1,7 @@
 #include "CallerProtocol.h"
 
+#include "HttpStatus.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -29,22 +31,18 @@
 uint16_t
 StatusOf(const CallerAnswer& aAnswer)
 {
-  constexpr uint16_t kBadGateway = 502;
-  constexpr uint16_t kUnavailable = 503;
-  constexpr uint16_t kGatewayTimeout = 504;
-  constexpr uint16_t kConflict = 409;
   switch (aAnswer.m_outcome) {
     case Outcome::Served:
       return aAnswer.m_answer.m_status;
     case Outcome::NotRun:
-      return kUnavailable;
+      return kHttpUnavailable;
     case Outcome::RanBefore:
-      return kConflict;
+      return kHttpConflict;
     case Outcome::Unknown:
       break;
   }
-  return aAnswer.m_reason == RefusalReason::DeadlinePassed ? kGatewayTimeout
-                                                           : kBadGateway;
+  return aAnswer.m_reason == RefusalReason::DeadlinePassed ? kHttpGatewayTimeout
+                                                           : kHttpBadGateway;
 }
 
 } // namespace
--- a/packages/control/Command.cpp
+++ b/packages/control/Command.cpp
@@ -1,5 +1,7 @@
 #include "Command.h"
 
+#include "HttpStatus.h"
+
 #include <algorithm>
 #include <iomanip>
 
@@ -50,8 +52,7 @@
   if (result.m_end != HttpEnd::Answered) {
     return Failure(Step::CallDaemon, aAddress, result.m_body);
   }
-  constexpr uint16_t kOk = 200;
-  if (result.m_status != kOk) {
+  if (result.m_status != kHttpOk) {
     return Failure(Step::CallDaemon,
                    aAddress,
                    aMethod + " " + aPath + ": status " +
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "HeartbeatCodec.h"
 #include "HttpPaths.h"
+#include "HttpStatus.h"
 #include "Log.h"
 #include "MetricsText.h"
 #include "PacketCodec.h"
@@ -13,9 +14,6 @@
 /** Time in which balancers learn that the agent takes no new flows. */
 constexpr Duration kBalancersNotice = Milliseconds(300);
 constexpr Duration kShutdownStep = Milliseconds(50);
-constexpr uint16_t kOk = 200;
-constexpr uint16_t kBadRequest = 400;
-constexpr uint16_t kNotFound = 404;
 
 FlowAgentOptions
 OptionsFrom(const FlowSettings& aSettings)
@@ -114,29 +112,29 @@
 {
   std::string prefix = kHeartbeatPath;
   if (!aRequest.m_path.starts_with(prefix)) {
-    return { kNotFound, {}, "", "" };
+    return { kHttpNotFound, {}, "", "" };
   }
   std::string id = aRequest.m_path.substr(prefix.size());
   if (aRequest.m_method == "DELETE") {
     m_core.OnLeave(id);
     Log(LogLevel::Info, "server-left", { { "server", id } });
-    return { kOk, {}, "application/json", HeartbeatAnswer() };
+    return { kHttpOk, {}, "application/json", HeartbeatAnswer() };
   }
   Result<ServerHeartbeat> heartbeat = DecodeHeartbeat(id, aRequest.m_body);
   if (!heartbeat) {
     Log(LogLevel::Warning,
         "heartbeat-rejected",
         { { "server", id }, { "detail", heartbeat.error().m_detail } });
-    return { kBadRequest, {}, "", "" };
+    return { kHttpBadRequest, {}, "", "" };
   }
   if (heartbeat->m_service != m_settings.m_service) {
     Log(LogLevel::Warning,
         "heartbeat-rejected",
         { { "server", id }, { "service", heartbeat->m_service } });
-    return { kBadRequest, {}, "", "" };
+    return { kHttpBadRequest, {}, "", "" };
   }
   OnHeartbeat(*heartbeat);
-  return { kOk, {}, "application/json", HeartbeatAnswer() };
+  return { kHttpOk, {}, "application/json", HeartbeatAnswer() };
 }
 
 void
@@ -209,7 +207,7 @@
   text.Add("bilberry_journal_pending", m_journal.PendingCount());
   text.Add("bilberry_journal_lost_total", m_journal.LostCount());
   text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
-  return { kOk, {}, "text/plain", text.Text() };
+  return { kHttpOk, {}, "text/plain", text.Text() };
 }
 
 void
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "AgentEntryCodec.h"
 #include "HttpPaths.h"
+#include "HttpStatus.h"
 #include "ListeningPlan.h"
 #include "Log.h"
 #include "MetricsText.h"
@@ -18,8 +19,6 @@
 /** Silence of callers after which a shutdown ends. */
 constexpr Duration kCallersQuiet = Milliseconds(500);
 constexpr Duration kShutdownStep = Milliseconds(100);
-constexpr uint16_t kOk = 200;
-constexpr uint16_t kUnavailable = 503;
 
 } // namespace
 
@@ -51,7 +50,7 @@
   , m_readiness({ 1 },
                 [this](const HttpIncoming& aRequest, const HttpReply& aReply) {
                   bool isReady = aRequest.m_path == kReadinessPath && m_isReady;
-                  aReply({ isReady ? kOk : kUnavailable, {}, "", "" });
+                  aReply({ isReady ? kHttpOk : kHttpUnavailable, {}, "", "" });
                 })
   , m_metrics({ 1 },
               [this](const HttpIncoming&, const HttpReply& aReply) {
@@ -192,7 +191,7 @@
       }
     }
   }
-  return { kOk, EncodeSnapshot(snapshot) };
+  return { kHttpOk, EncodeSnapshot(snapshot) };
 }
 
 AdminAnswer
@@ -213,7 +212,7 @@
         { "slots", agent.m_load.m_slots },
         { "answer_ms", agent.m_load.m_answerUs / 1000 } });
   }
-  return { kOk,
+  return { kHttpOk,
            { { "id", m_settings.m_id },
              { "role", NameOf(kFlowRoleNames, m_settings.m_role) },
              { "failure_domain", m_settings.m_domain },
@@ -417,7 +416,7 @@
            m_callers->SendFailures() + m_handBack->SendFailures() +
              m_control.SendFailures());
   text.Add("bilberry_search_seconds", m_core.SearchTimes());
-  return { kOk, {}, "text/plain", text.Text() };
+  return { kHttpOk, {}, "text/plain", text.Text() };
 }
 
 void
--- a/packages/flownode/PeerSync.cpp
+++ b/packages/flownode/PeerSync.cpp
@@ -1,5 +1,6 @@
 #include "PeerSync.h"
 
+#include "HttpStatus.h"
 #include "Log.h"
 
 namespace bilberryfield {
@@ -9,7 +10,6 @@
 using nlohmann::json;
 
 constexpr Duration kAskTimeout = Milliseconds(1000);
-constexpr uint16_t kOk = 200;
 
 } // namespace
 
@@ -87,7 +87,7 @@
     m_loop.Post([this, peer, result = std::move(aResult)] {
       m_isAsking = false;
       bool isAnswered =
-        result.m_end == HttpEnd::Answered && result.m_status == kOk;
+        result.m_end == HttpEnd::Answered && result.m_status == kHttpOk;
       Result<PeerSnapshot> snapshot =
         isAnswered ? DecodeSnapshot(result.m_body, peer)
                    : Failure(Step::CallDaemon, peer, "no snapshot");
--- a/standins/FlowCallers.cpp
+++ b/standins/FlowCallers.cpp
@@ -1,6 +1,7 @@
 #include "FlowCallers.h"
 
 #include "HttpPaths.h"
+#include "HttpStatus.h"
 #include "PacketCodec.h"
 
 #include <algorithm>
@@ -16,7 +17,6 @@
 /** Time after which a caller gives up. */
 constexpr Duration kPatience = Seconds(4);
 constexpr uint16_t kRequestBytes = 50;
-constexpr uint16_t kOk = 200;
 
 } // namespace
 
@@ -62,7 +62,7 @@
   call.m_timeout = kProbeEvery;
   m_client.Send(call, [this, aTarget](const HttpResult& aResult) {
     bool isReady =
-      aResult.m_end == HttpEnd::Answered && aResult.m_status == kOk;
+      aResult.m_end == HttpEnd::Answered && aResult.m_status == kHttpOk;
     m_loop.Post([this, aTarget, isReady] {
       m_misses[aTarget] =
         isReady ? 0 : std::min(kMisses, m_misses[aTarget] + 1);
