Read times in settings by one function

Both parsers of settings had a ReadTime with the same upper bound and another lower one; JsonFields::OptionalTime takes the lower bound. Bounds and messages stay the same.

--- a/packages/decision/JsonFields.cpp
+++ b/packages/decision/JsonFields.cpp
@@ -91,6 +91,16 @@
   return value->get<int64_t>();
 }
 
+Milliseconds
+JsonFields::OptionalTime(const std::string& aKey,
+                         Milliseconds aDefault,
+                         Milliseconds aLow)
+{
+  constexpr Milliseconds kLongest = std::chrono::hours(1);
+  return Milliseconds(
+    OptionalInteger(aKey, aDefault.count(), aLow.count(), kLongest.count()));
+}
+
 double
 JsonFields::OptionalNumber(const std::string& aKey,
                            double aDefault,
--- a/packages/decision/JsonFields.h
+++ b/packages/decision/JsonFields.h
@@ -31,6 +31,12 @@
                           int64_t aLow,
                           int64_t aHigh);
 
+  /** Milliseconds from aLow to an hour, or the default when the key is missing.
+   */
+  Milliseconds OptionalTime(const std::string& aKey,
+                            Milliseconds aDefault,
+                            Milliseconds aLow);
+
   /** Number within [aLow, aHigh], or the default when the key is missing. */
   double OptionalNumber(const std::string& aKey,
                         double aDefault,
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int64_t kMaxTimeMs = 3'600'000;
+constexpr Milliseconds kLeastTime{ 1 };
 
 Endpoint
 ReadEndpoint(JsonFields& aFields, const std::string& aKey)
@@ -30,13 +30,6 @@
   return port;
 }
 
-Milliseconds
-ReadTime(JsonFields& aFields, const std::string& aKey, Milliseconds aDefault)
-{
-  return Milliseconds(
-    aFields.OptionalInteger(aKey, aDefault.count(), 1, kMaxTimeMs));
-}
-
 std::vector<Endpoint>
 ReadSeeds(JsonFields& aFields)
 {
@@ -57,12 +50,12 @@
   aSettings.m_serverListen = ReadEndpoint(aFields, "server_listen");
   aSettings.m_server = ReadEndpoint(aFields, "server");
   aSettings.m_service = aFields.RequiredString("service");
-  aSettings.m_heartbeatEvery =
-    ReadTime(aFields, "heartbeat_ms", aSettings.m_heartbeatEvery);
-  aSettings.m_journalEvery =
-    ReadTime(aFields, "journal_every_ms", aSettings.m_journalEvery);
+  aSettings.m_heartbeatEvery = aFields.OptionalTime(
+    "heartbeat_ms", aSettings.m_heartbeatEvery, kLeastTime);
+  aSettings.m_journalEvery = aFields.OptionalTime(
+    "journal_every_ms", aSettings.m_journalEvery, kLeastTime);
   aSettings.m_maxFlowAge =
-    ReadTime(aFields, "max_flow_ms", aSettings.m_maxFlowAge);
+    aFields.OptionalTime("max_flow_ms", aSettings.m_maxFlowAge, kLeastTime);
 }
 
 } // namespace
@@ -93,15 +86,15 @@
   settings.m_handBackPort = ReadPort(fields, "hand_back_port");
   settings.m_logLevel =
     fields.OptionalName("log_level", kLogLevelNames, settings.m_logLevel);
-  settings.m_shutdownLimit =
-    ReadTime(fields, "shutdown_limit_ms", settings.m_shutdownLimit);
+  settings.m_shutdownLimit = fields.OptionalTime(
+    "shutdown_limit_ms", settings.m_shutdownLimit, kLeastTime);
   if (settings.m_role == FlowRole::Agent) {
     ReadAgentFields(fields, settings);
   } else {
     settings.m_readinessListen = ReadEndpoint(fields, "readiness_listen");
     settings.m_seeds = ReadSeeds(fields);
-    settings.m_staleEntryAfter =
-      ReadTime(fields, "stale_entry_ms", settings.m_staleEntryAfter);
+    settings.m_staleEntryAfter = fields.OptionalTime(
+      "stale_entry_ms", settings.m_staleEntryAfter, kLeastTime);
   }
   fields.RejectUnknownKeys();
   if (!mistakes.empty()) {
--- a/packages/runtime/Settings.cpp
+++ b/packages/runtime/Settings.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int64_t kMaxTimeMs = 3'600'000;
+constexpr Milliseconds kLeastTime{ 0 };
 constexpr int64_t kMaxSlots = 10'000;
 
 // Port 0 is allowed for addresses that this process listens on.
@@ -24,13 +24,6 @@
   return address;
 }
 
-Milliseconds
-ReadTime(JsonFields& aFields, const std::string& aKey, Milliseconds aDefault)
-{
-  return Milliseconds(
-    aFields.OptionalInteger(aKey, aDefault.count(), 0, kMaxTimeMs));
-}
-
 void
 ReadAgentFields(JsonFields& aFields, Settings& aSettings)
 {
@@ -41,12 +34,12 @@
     aFields.OptionalInteger("slots", aSettings.m_slots, 1, kMaxSlots));
   aSettings.m_longShare =
     aFields.OptionalNumber("long_share", aSettings.m_longShare, 0.0, 1.0);
-  aSettings.m_journalEvery =
-    ReadTime(aFields, "journal_every_ms", aSettings.m_journalEvery);
+  aSettings.m_journalEvery = aFields.OptionalTime(
+    "journal_every_ms", aSettings.m_journalEvery, kLeastTime);
   aSettings.m_drainGrace =
-    ReadTime(aFields, "drain_grace_ms", aSettings.m_drainGrace);
-  aSettings.m_drainLinger =
-    ReadTime(aFields, "drain_linger_ms", aSettings.m_drainLinger);
+    aFields.OptionalTime("drain_grace_ms", aSettings.m_drainGrace, kLeastTime);
+  aSettings.m_drainLinger = aFields.OptionalTime(
+    "drain_linger_ms", aSettings.m_drainLinger, kLeastTime);
 }
 
 } // namespace
@@ -66,7 +59,7 @@
   settings.m_logLevel =
     fields.OptionalName("log_level", kLogLevelNames, settings.m_logLevel);
   settings.m_drainLimit =
-    ReadTime(fields, "drain_limit_ms", settings.m_drainLimit);
+    fields.OptionalTime("drain_limit_ms", settings.m_drainLimit, kLeastTime);
   if (settings.m_role == Role::Agent) {
     ReadAgentFields(fields, settings);
   } else {
