--- a/packages/control/Bilberryd.cpp
+++ b/packages/control/Bilberryd.cpp
@@ -3,6 +3,7 @@
 #include "BalancerDaemon.h"
 #include "BalancerNode.h"
 #include "StopSignals.h"
+#include "WallClock.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -48,9 +49,7 @@
 RunNode(const Settings& aSettings)
 {
   sigset_t signals = BlockStopSignals();
-  auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  auto incarnation = static_cast<uint64_t>(
-    std::chrono::duration_cast<Milliseconds>(sinceEpoch).count());
+  uint64_t incarnation = WallClockMs();
   Node node(aSettings, incarnation);
   Result<void> started = node.Start();
   if (!started) {
@@ -122,26 +121,30 @@
   std::_Exit(kSuccess);
 }
 
-void
-PrintMistakes(const std::string& aPath,
-              const std::vector<UserMistake>& aMistakes)
+// The exit code when the program ends with the check of its settings.
+template<typename SettingsParse>
+std::optional<int>
+EndAfterCheck(const std::string& aPath, const SettingsParse& aSettings)
 {
-  for (const UserMistake& mistake : aMistakes) {
-    std::cerr << aPath << ": " << mistake << "\n";
+  if (!aSettings) {
+    for (const UserMistake& mistake : aSettings.error()) {
+      std::cerr << aPath << ": " << mistake << "\n";
+    }
+    return kBadSettings;
   }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::cout << aPath << ": no mistakes\n";
+    return kSuccess;
+  }
+  return std::nullopt;
 }
 
 int
 RunPacketPath(const std::string& aPath, const nlohmann::json& aDocument)
 {
   FlowSettingsParse settings = ParseFlowSettings(aDocument);
-  if (!settings) {
-    PrintMistakes(aPath, settings.error());
-    return kBadSettings;
-  }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::cout << aPath << ": no mistakes\n";
-    return kSuccess;
+  if (std::optional<int> code = EndAfterCheck(aPath, settings)) {
+    return *code;
   }
   StartLog(settings->m_logLevel, settings->m_id);
   return settings->m_role == FlowRole::Agent
@@ -168,13 +171,8 @@
     return RunPacketPath(path, *document);
   }
   SettingsParse settings = ParseSettings(*document);
-  if (!settings) {
-    PrintMistakes(path, settings.error());
-    return kBadSettings;
-  }
-  if (absl::GetFlag(FLAGS_check)) {
-    std::cout << path << ": no mistakes\n";
-    return kSuccess;
+  if (std::optional<int> code = EndAfterCheck(path, settings)) {
+    return *code;
   }
   if (sodium_init() < 0) {
     std::cerr << "bilberryd: libsodium cannot start\n";
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -6,6 +6,7 @@
 #include "Log.h"
 #include "MetricsText.h"
 #include "PacketCodec.h"
+#include "WallClock.h"
 
 namespace bilberryfield {
 
@@ -27,14 +28,6 @@
   return options;
 }
 
-// Tells one start of an agent from the others in the journals' names.
-std::string
-StartNumber()
-{
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::to_string(std::chrono::duration_cast<Milliseconds>(now).count());
-}
-
 } // namespace
 
 AgentDaemon::AgentDaemon(const FlowSettings& aSettings)
@@ -52,7 +45,8 @@
       { aSettings.m_service, aSettings.m_domain, aSettings.m_packetListen })
   , m_journal(m_loop,
               m_store,
-              aSettings.m_id + "/" + StartNumber(),
+              // Each start has a journal of its own.
+              aSettings.m_id + "/" + std::to_string(WallClockMs()),
               aSettings.m_service)
   , m_heartbeats({ 1 },
                  [this](HttpIncoming aRequest, HttpReply aReply) {
@@ -87,19 +81,15 @@
 Result<void>
 AgentDaemon::Start()
 {
-  Result<void> opened = OpenSockets();
-  if (!opened) {
-    return opened;
-  }
-  Result<uint16_t> listening =
-    m_heartbeats.Start(ToText(m_settings.m_adminListen));
-  if (!listening) {
-    return tl::unexpected(listening.error());
-  }
-  Result<uint16_t> metrics =
-    m_metrics.Start(ToText(m_settings.m_metricsListen));
-  if (!metrics) {
-    return tl::unexpected(metrics.error());
+  Result<uint16_t> started =
+    OpenSockets()
+      .and_then(
+        [&] { return m_heartbeats.Start(ToText(m_settings.m_adminListen)); })
+      .and_then([&](uint16_t) {
+        return m_metrics.Start(ToText(m_settings.m_metricsListen));
+      });
+  if (!started) {
+    return tl::unexpected(started.error());
   }
   m_loop.Every(FlowAgent::kTick, [this] { OnTick(); });
   m_loop.Every(Seconds(1), LogWhatWasLeftOut);
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -83,31 +83,23 @@
 Result<void>
 BalancerDaemon::StartServers()
 {
-  Result<uint16_t> readiness =
-    m_readiness.Start(ToText(m_settings.m_readinessListen));
-  if (!readiness) {
-    return tl::unexpected(readiness.error());
-  }
-  Result<uint16_t> metrics =
-    m_metrics.Start(ToText(m_settings.m_metricsListen));
-  if (!metrics) {
-    return tl::unexpected(metrics.error());
-  }
   m_admin.Add("GET /status", [this](const HttpIncoming&) { return Status(); });
   m_admin.Add(
     std::string("GET ") + kSnapshotPath,
     [this](const HttpIncoming& aRequest) { return Snapshot(aRequest); });
-  return m_admin.Start(ToText(m_settings.m_adminListen)).map([](uint16_t) {});
+  return m_readiness.Start(ToText(m_settings.m_readinessListen))
+    .and_then([&](uint16_t) {
+      return m_metrics.Start(ToText(m_settings.m_metricsListen));
+    })
+    .and_then(
+      [&](uint16_t) { return m_admin.Start(ToText(m_settings.m_adminListen)); })
+    .map([](uint16_t) {});
 }
 
 Result<void>
 BalancerDaemon::Start()
 {
-  Result<void> opened = OpenSockets();
-  if (!opened) {
-    return opened;
-  }
-  Result<void> started = StartServers();
+  Result<void> started = OpenSockets().and_then([&] { return StartServers(); });
   if (!started) {
     return started;
   }
--- a/packages/flownode/FlowLoop.cpp
+++ b/packages/flownode/FlowLoop.cpp
@@ -1,8 +1,8 @@
 #include "FlowLoop.h"
 
-#include <arpa/inet.h>
+#include "SocketAddress.h"
+
 #include <boost/asio/post.hpp>
-#include <sys/socket.h>
 
 namespace bilberryfield {
 
@@ -17,16 +17,6 @@
 /** Bytes that wait in the kernel while this process is busy. */
 constexpr int kReceiveBuffer = 512 * 1024;
 
-sockaddr_in
-ToSocketAddress(const Endpoint& aEndpoint)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(aEndpoint.m_ip);
-  address.sin_port = htons(aEndpoint.m_port);
-  return address;
-}
-
 } // namespace
 
 FlowLoop::FlowLoop()
--- a/packages/runtime/Log.cpp
+++ b/packages/runtime/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "LogBudget.h"
 #include "PipeAppender.h"
+#include "WallClock.h"
 
 #include <chrono>
 #include <log4cxx/level.h>
@@ -111,9 +112,7 @@
              const std::string& aEvent,
              const nlohmann::json& aFields)
 {
-  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-    std::chrono::system_clock::now().time_since_epoch());
-  nlohmann::ordered_json line = { { "time_ms", now.count() },
+  nlohmann::ordered_json line = { { "time_ms", WallClockMs() },
                                   { "level", NameOf(kLogLevelNames, aLevel) },
                                   { "process", ProcessName() },
                                   { "event", aEvent } };
--- a/standins/FlowServerStandIn.cpp
+++ b/standins/FlowServerStandIn.cpp
@@ -7,6 +7,7 @@
 #include "HttpPaths.h"
 #include "PacketCodec.h"
 #include "StopSignals.h"
+#include "WallClock.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -46,9 +47,7 @@
     : m_outbound(*ParseIpAndPort(absl::GetFlag(FLAGS_outbound)))
     , m_client(HttpClientOptions{})
   {
-    auto now = std::chrono::system_clock::now().time_since_epoch();
-    m_heartbeat.m_born = static_cast<uint64_t>(
-      std::chrono::duration_cast<Milliseconds>(now).count());
+    m_heartbeat.m_born = WallClockMs();
     m_heartbeat.m_id = "s" + std::to_string(m_heartbeat.m_born);
     m_heartbeat.m_service = absl::GetFlag(FLAGS_service);
     m_heartbeat.m_address = *ParseIpAndPort(absl::GetFlag(FLAGS_listen));
--- a/test/performance/FlowCosts.cpp
+++ b/test/performance/FlowCosts.cpp
@@ -9,9 +9,8 @@
 #include "FlowLoop.h"
 #include "ListeningPlan.h"
 #include "PacketCodec.h"
+#include "SocketAddress.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 namespace {
@@ -273,16 +272,6 @@
         "us");
 }
 
-sockaddr_in
-ToSocketAddress(const Endpoint& aEndpoint)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(aEndpoint.m_ip);
-  address.sin_port = htons(aEndpoint.m_port);
-  return address;
-}
-
 /** A UDP socket on the loopback network, closed at the end. */
 class BareSocket
 {
