--- /dev/null
+++ b/test/FlowSamples.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "FlowMessages.h"
+
+namespace bilberryfield {
+
+/** Address of the service "desk". */
+inline constexpr Endpoint kDesk{ 0xC6120001, 443 };
+
+/** The report of an agent of "desk" whose server takes new flows. */
+inline AgentReport
+ReadyReport(const Endpoint& aPackets, const std::string& aDomain)
+{
+  AgentReport report;
+  report.m_service = "desk";
+  report.m_domain = aDomain;
+  report.m_packets = aPackets;
+  report.m_load.m_condition = ServerCondition::Ready;
+  report.m_load.m_slots = 4;
+  return report;
+}
+
+/** An opening packet to "desk", as an agent gets it. */
+inline PacketHeader
+OpeningPacket()
+{
+  PacketHeader header;
+  header.m_source = { 0x64400001, 1024 };
+  header.m_destination = kDesk;
+  header.m_flags = kSyn;
+  header.m_seq = 9;
+  header.m_tag = ServiceTag("desk");
+  return header;
+}
+
+} // namespace bilberryfield
--- a/test/correctness/FlowPlacement.cpp
+++ b/test/correctness/FlowPlacement.cpp
@@ -1,4 +1,5 @@
 #include "FakeFlowNet.h"
+#include "FlowSamples.h"
 
 #include <criterion/criterion.h>
 #include <queue>
@@ -7,7 +8,6 @@
 
 namespace {
 
-const Endpoint kDesk{ 0xC6120001, 443 };
 const Endpoint kImages{ 0xC6120002, 443 };
 
 std::vector<Route>
--- a/test/correctness/Listening.cpp
+++ b/test/correctness/Listening.cpp
@@ -1,4 +1,5 @@
 #include "FlowAgent.h"
+#include "FlowSamples.h"
 #include "ListeningPlan.h"
 
 #include <criterion/criterion.h>
@@ -28,17 +29,6 @@
   return entries;
 }
 
-AgentReport
-ReportOf(const AgentEntry& aEntry)
-{
-  AgentReport report;
-  report.m_service = aEntry.m_service;
-  report.m_domain = aEntry.m_domain;
-  report.m_packets = aEntry.m_packets;
-  report.m_load.m_condition = ServerCondition::Ready;
-  return report;
-}
-
 /** A balancer that has heard all its agents. */
 struct Listener
 {
@@ -53,7 +43,7 @@
   void ReportFromAll()
   {
     for (const AgentEntry& entry : m_entries) {
-      m_agents.OnReport(m_now, ReportOf(entry));
+      m_agents.OnReport(m_now, ReadyReport(entry.m_packets, entry.m_domain));
     }
   }
 
--- a/test/correctness/Pauses.cpp
+++ b/test/correctness/Pauses.cpp
@@ -1,5 +1,6 @@
 #include "FlowAgent.h"
 #include "FlowBalancer.h"
+#include "FlowSamples.h"
 #include "PauseDetector.h"
 
 #include <criterion/criterion.h>
@@ -11,31 +12,8 @@
 constexpr TimePoint kStart{ Seconds(100) };
 constexpr uint32_t kAgent = 0x0A010001;
 constexpr uint32_t kBalancer = 0x0A000001;
-const Endpoint kDesk{ 0xC6120001, 443 };
 const Endpoint kPackets{ kAgent, 8000 };
 
-PacketHeader
-Opening(uint16_t aPort)
-{
-  PacketHeader header;
-  header.m_source = { 0x64400001, aPort };
-  header.m_destination = kDesk;
-  header.m_flags = kSyn;
-  header.m_tag = ServiceTag("desk");
-  return header;
-}
-
-AgentReport
-ReadyReport()
-{
-  AgentReport report;
-  report.m_service = "desk";
-  report.m_domain = "a";
-  report.m_packets = kPackets;
-  report.m_load.m_condition = ServerCondition::Ready;
-  return report;
-}
-
 std::unique_ptr<FlowBalancer>
 BalancerWithAnAgent()
 {
@@ -46,7 +24,7 @@
   balancer->SetRoutes(routes);
   balancer->Agents().SetListed(kStart, 1, { { "desk", "a", kPackets } });
   balancer->Agents().OnSubscribed(kStart, kAgent, Subscribe{});
-  balancer->Agents().OnReport(kStart, ReadyReport());
+  balancer->Agents().OnReport(kStart, ReadyReport(kPackets, "a"));
   balancer->OnTick(kStart);
   return balancer;
 }
@@ -71,7 +49,7 @@
 {
   auto balancer = BalancerWithAnAgent();
   TimePoint woken = kStart + Milliseconds(438);
-  const auto& steps = balancer->OnCallerPacket(woken, Opening(1), {});
+  const auto& steps = balancer->OnCallerPacket(woken, OpeningPacket(), {});
   cr_assert_eq(steps.size(), 1);
   cr_assert(steps.front().m_action == FlowBalancerAction::Forward);
 }
@@ -84,14 +62,14 @@
   for (; now < kStart + Milliseconds(438); now += FlowBalancer::kTick) {
     balancer->OnTick(now);
   }
-  const auto& steps = balancer->OnCallerPacket(now, Opening(1), {});
+  const auto& steps = balancer->OnCallerPacket(now, OpeningPacket(), {});
   cr_assert(steps.front().m_action == FlowBalancerAction::Reset);
 }
 
 Test(Pauses, AnAgentThatStoodStillDoesNotCallItsServerSilent)
 {
   auto agent = AgentWithAServer();
-  agent->OnBalancerPacket(kStart, Opening(1), {}, kBalancer);
+  agent->OnBalancerPacket(kStart, OpeningPacket(), {}, kBalancer);
   TimePoint woken = kStart + Seconds(3);
   cr_assert(agent->TakeUnanswered(woken).empty());
   cr_assert(agent->Condition(woken) == ServerCondition::Ready);
@@ -102,14 +80,14 @@
   auto agent = AgentWithAServer();
   TimePoint woken = kStart + Seconds(3);
   AgentVerdict verdict =
-    agent->OnBalancerPacket(woken, Opening(1), {}, kBalancer);
+    agent->OnBalancerPacket(woken, OpeningPacket(), {}, kBalancer);
   cr_assert(verdict.m_action == FlowAgentAction::Deliver);
 }
 
 Test(Pauses, AnOpeningThatStaysUnansweredAfterAPauseIsHandedBack)
 {
   auto agent = AgentWithAServer();
-  agent->OnBalancerPacket(kStart, Opening(1), {}, kBalancer);
+  agent->OnBalancerPacket(kStart, OpeningPacket(), {}, kBalancer);
   TimePoint now = kStart + Seconds(3);
   agent->OnTick(now);
   cr_assert(agent->TakeUnanswered(now).empty());
--- a/test/correctness/SilentAgents.cpp
+++ b/test/correctness/SilentAgents.cpp
@@ -1,4 +1,5 @@
 #include "FlowBalancer.h"
+#include "FlowSamples.h"
 
 #include <criterion/criterion.h>
 
@@ -10,30 +11,6 @@
 constexpr uint32_t kFirst = 0x0A010001;
 constexpr uint32_t kSecond = 0x0A010002;
 constexpr Milliseconds kPace{ 1000 };
-const Endpoint kDesk{ 0xC6120001, 443 };
-
-AgentReport
-ReadyReport(uint32_t aIp)
-{
-  AgentReport report;
-  report.m_service = "desk";
-  report.m_domain = "a";
-  report.m_packets = { aIp, 8000 };
-  report.m_load.m_condition = ServerCondition::Ready;
-  report.m_load.m_slots = 4;
-  return report;
-}
-
-PacketHeader
-Opening()
-{
-  PacketHeader header;
-  header.m_source = { 0x64400001, 1024 };
-  header.m_destination = kDesk;
-  header.m_flags = kSyn;
-  header.m_seq = 9;
-  return header;
-}
 
 /** A balancer with two agents that were asked for a report each second. */
 struct TwoAgents
@@ -45,7 +22,7 @@
     routes->m_routes[kDesk] = { "desk", kDesk, { { "desk", 1 } }, 1, {} };
     m_balancer.SetRoutes(routes);
     for (uint32_t ip : { kFirst, kSecond }) {
-      m_balancer.Agents().OnReport(m_now, ReadyReport(ip));
+      m_balancer.Agents().OnReport(m_now, ReadyReport({ ip, 8000 }, "a"));
       Subscribe message;
       message.m_pace = { kPace, kPace, kPace, kPace };
       m_balancer.Agents().OnSubscribed(m_now, ip, message);
@@ -54,7 +31,7 @@
 
   uint32_t SendOpening()
   {
-    const auto& steps = m_balancer.OnCallerPacket(m_now, Opening(), {});
+    const auto& steps = m_balancer.OnCallerPacket(m_now, OpeningPacket(), {});
     return steps.front().m_agentIp;
   }
 
@@ -87,7 +64,8 @@
   TwoAgents two;
   uint32_t first = two.SendOpening();
   two.Pass(Milliseconds(1200));
-  two.m_balancer.Agents().OnReport(two.m_now, ReadyReport(first));
+  two.m_balancer.Agents().OnReport(two.m_now,
+                                   ReadyReport({ first, 8000 }, "a"));
   cr_assert_eq(two.SendOpening(), first);
 }
 
--- a/test/process/FaultSoak.cpp
+++ b/test/process/FaultSoak.cpp
@@ -1,3 +1,4 @@
+#include "BuildFolder.h"
 #include "Process.h"
 
 #include <criterion/criterion.h>
@@ -12,8 +13,7 @@
 int
 EndOfSeed(uint64_t aSeed)
 {
-  const char* build = std::getenv("BILBERRY_BUILD");
-  std::string folder = build ? build : "build";
+  std::string folder = BuildFolder();
   std::string log = folder + "/fault-soak-" + std::to_string(aSeed) + ".log";
   Result<Process> soak = Process::Start({ folder + "/standins/FaultSoak",
                                           "--build=" + folder,
--- a/test/process/JournalBatches.cpp
+++ b/test/process/JournalBatches.cpp
@@ -1,3 +1,4 @@
+#include "BuildFolder.h"
 #include "FlowCluster.h"
 #include "FlowJournal.h"
 #include "StoredJournal.h"
@@ -12,8 +13,7 @@
 Test(JournalBatches, AllPendingRecordsAreStoredAtOnce)
 {
   constexpr uint32_t kFlows = 6000;
-  const char* build = std::getenv("BILBERRY_BUILD");
-  FlowCluster cluster(build ? build : "build", 0, 0);
+  FlowCluster cluster(BuildFolder(), 0, 0);
   cluster.Start();
   FlowLoop loop;
   StoreClient store(cluster.StoreAddress());
--- a/test/process/PacketPath.cpp
+++ b/test/process/PacketPath.cpp
@@ -1,3 +1,4 @@
+#include "BuildFolder.h"
 #include "FlowCluster.h"
 #include "StoredJournal.h"
 
@@ -10,13 +11,6 @@
 
 namespace {
 
-std::string
-BuildFolder()
-{
-  const char* build = std::getenv("BILBERRY_BUILD");
-  return build ? build : "build";
-}
-
 // Three balancers and four servers under load from callers.
 struct LoadedPath
 {
--- a/test/process/ProcessFixture.h
+++ b/test/process/ProcessFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BuildFolder.h"
 #include "Callers.h"
 #include "Cluster.h"
 
@@ -38,12 +39,6 @@
     cr_assert(WaitForMembers());
   }
 
-  static std::string BuildFolder()
-  {
-    const char* build = std::getenv("BILBERRY_BUILD");
-    return build ? build : "build";
-  }
-
   /** Lookups and check-ins, as many of one as of the other. */
   std::vector<RequestKind> Kinds(int aWorkMs = 10) const
   {
--- a/test/process/SilentStore.cpp
+++ b/test/process/SilentStore.cpp
@@ -1,3 +1,4 @@
+#include "BuildFolder.h"
 #include "FlowCluster.h"
 
 #include <criterion/criterion.h>
@@ -33,8 +34,7 @@
 Test(SilentStore, BalancersAreReadySoonAfterItAnswersAgain)
 {
   constexpr size_t kBalancers = 2;
-  const char* build = std::getenv("BILBERRY_BUILD");
-  FlowCluster cluster(build ? build : "build", kBalancers, 2);
+  FlowCluster cluster(BuildFolder(), kBalancers, 2);
   cluster.Start();
   cr_assert(AreAllReadyWithin(cluster, kBalancers, Seconds(5)));
   cluster.Link().SetMode(LinkMode::Swallow);
--- a/test/process/StaleEntries.cpp
+++ b/test/process/StaleEntries.cpp
@@ -1,3 +1,4 @@
+#include "BuildFolder.h"
 #include "FlowCluster.h"
 
 #include <criterion/criterion.h>
@@ -14,8 +15,7 @@
 std::unique_ptr<FlowCluster>
 StartCluster()
 {
-  const char* build = std::getenv("BILBERRY_BUILD");
-  auto cluster = std::make_unique<FlowCluster>(build ? build : "build", 2, 3);
+  auto cluster = std::make_unique<FlowCluster>(BuildFolder(), 2, 3);
   cluster->m_staleEntryAfter = kStaleAfter;
   cluster->Start();
   return cluster;
--- a/test/process/WholePath.cpp
+++ b/test/process/WholePath.cpp
@@ -7,10 +7,8 @@
 Test(WholePath, ServesTwoServicesWhileABalancerDiesAndAServerDrains)
 {
   cr_assert(sodium_init() >= 0);
-  Cluster cluster({ ReadyCluster::BuildFolder(),
-                    3,
-                    { { "catalogue", 3, 4 }, { "images", 2, 4 } },
-                    1 });
+  Cluster cluster(
+    { BuildFolder(), 3, { { "catalogue", 3, 4 }, { "images", 2, 4 } }, 1 });
   cluster.Start();
   PublishResult published = cluster.PublishServices(
     { MakeService("catalogue"), MakeService("images") });
