Bound log lines by the VM's share of a core

Its log held two events of 100 lines a second each, one for each placement and one for each hand-back; a line costs a tree of values, two system calls and log4cxx's event.

Change: the setting cpu_share (from the platform's limits) bounds each event to 400 lines a second for a whole core, 10 at least and 100 at most; counters and lines-left-out tell the rest, as before.

--- a/packages/control/Bilberryd.cpp
+++ b/packages/control/Bilberryd.cpp
@@ -146,7 +146,7 @@
   if (std::optional<int> code = EndAfterCheck(aPath, settings)) {
     return *code;
   }
-  StartLog(settings->m_logLevel, settings->m_id);
+  StartLog(settings->m_logLevel, settings->m_id, LogLinesPerSecond(*settings));
   return settings->m_role == FlowRole::Agent
            ? RunDaemon<AgentDaemon>(aPath, *settings)
            : RunDaemon<BalancerDaemon>(aPath, *settings);
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -1,5 +1,6 @@
 #include "FlowSettings.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bilberryfield {
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr Milliseconds kLeastTime{ 1 };
+constexpr double kLeastShare = 0.001;
 
 Endpoint
 ReadEndpoint(JsonFields& aFields, const std::string& aKey)
@@ -60,6 +62,17 @@
 
 } // namespace
 
+// Lines compete with packets for the processor. A few a second remain on the
+// smallest VM, so that a failed request can still be traced.
+double
+LogLinesPerSecond(const FlowSettings& aSettings)
+{
+  constexpr double kLeastLines = 10;
+  constexpr double kMostLines = 100;
+  return std::clamp(
+    kLogLinesPerSecond * aSettings.m_cpuShare, kLeastLines, kMostLines);
+}
+
 bool
 IsForPacketPath(const nlohmann::json& aJson)
 {
@@ -86,6 +99,8 @@
   settings.m_handBackPort = ReadPort(fields, "hand_back_port");
   settings.m_logLevel =
     fields.OptionalName("log_level", kLogLevelNames, settings.m_logLevel);
+  settings.m_cpuShare =
+    fields.OptionalNumber("cpu_share", settings.m_cpuShare, kLeastShare, 1.0);
   settings.m_shutdownLimit = fields.OptionalTime(
     "shutdown_limit_ms", settings.m_shutdownLimit, kLeastTime);
   if (settings.m_role == FlowRole::Agent) {
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -41,6 +41,8 @@
   /** Packets that agents hand back; the same port on all VMs. */
   uint16_t m_handBackPort = 0;
   LogLevel m_logLevel = LogLevel::Info;
+  /** Part of a core that this VM gives; fewer log lines on a small one. */
+  double m_cpuShare = 1;
   /** Longest time that a shutdown may take. */
   Milliseconds m_shutdownLimit{ 5'000 };
   /** Balancer: where the fabric asks whether this process is ready. */
@@ -63,6 +65,11 @@
   Milliseconds m_maxFlowAge{ 60'000 };
 };
 
+/** Log lines of one event that a process with these settings may write in a
+ * second. */
+double
+LogLinesPerSecond(const FlowSettings& aSettings);
+
 /** The settings, or every mistake in them. */
 using FlowSettingsParse = tl::expected<FlowSettings, std::vector<UserMistake>>;
 
--- a/packages/runtime/Log.cpp
+++ b/packages/runtime/Log.cpp
@@ -43,12 +43,14 @@
   return appender;
 }
 
-LogBudget&
+/** Lines at once after a quiet time, in seconds of the allowed pace. */
+constexpr double kBurstSeconds = 3;
+
+std::unique_ptr<LogBudget>&
 Budget()
 {
-  constexpr double kLinesPerSecond = 100;
-  constexpr double kBurst = 300;
-  static LogBudget budget(kLinesPerSecond, kBurst);
+  static auto budget = std::make_unique<LogBudget>(
+    kLogLinesPerSecond, kBurstSeconds * kLogLinesPerSecond);
   return budget;
 }
 
@@ -70,9 +72,11 @@
 } // namespace
 
 void
-StartLog(LogLevel aLowest, const std::string& aProcess)
+StartLog(LogLevel aLowest, const std::string& aProcess, double aLinesPerSecond)
 {
   ProcessName() = aProcess;
+  Budget() = std::make_unique<LogBudget>(aLinesPerSecond,
+                                         kBurstSeconds * aLinesPerSecond);
   // log4cxx's own JSON layout writes every field as text in a nested map; the
   // line is made here, and the appender passes it on.
   log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
@@ -90,7 +94,7 @@
 void
 LogWhatWasLeftOut()
 {
-  for (const auto& [event, count] : Budget().TakeLeftOut()) {
+  for (const auto& [event, count] : Budget()->TakeLeftOut()) {
     WriteLogLine(LogLevel::Warning,
                  "lines-left-out",
                  { { "of", event }, { "lines", count } });
@@ -104,7 +108,7 @@
 TakeLogLine(LogLevel aLevel, const std::string& aEvent)
 {
   return TheLogger()->isEnabledFor(LevelOf(aLevel)) &&
-         Budget().Take(SteadyNow(), aEvent);
+         Budget()->Take(SteadyNow(), aEvent);
 }
 
 void
--- a/packages/runtime/Log.h
+++ b/packages/runtime/Log.h
@@ -24,9 +24,17 @@
   { LogLevel::Error, "error" },
 } };
 
-/** Starts the log: JSON lines on standard output, from a level upwards. */
+/** Lines of one event that a whole core may write in a second. */
+inline constexpr double kLogLinesPerSecond = 400;
+
+/**
+ * Starts the log: JSON lines on standard output, from a level upwards, and at
+ * most aLinesPerSecond of each event.
+ */
 void
-StartLog(LogLevel aLowest, const std::string& aProcess);
+StartLog(LogLevel aLowest,
+         const std::string& aProcess,
+         double aLinesPerSecond = kLogLinesPerSecond);
 
 /** Changes the lowest level that is written. */
 void
