Hear agents that report before they are asked

Traced with the reproduced case: a balancer that has just started hears reports which its earlier life asked for; until it has asked itself, the silence limit of such an agent was 0, so a report that was 1 ms old counted as silence. With all agents of a service in that state an opening packet was refused with "no-server".

Change: the limit begins at 500 ms.

--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -20,6 +20,10 @@
   bool operator==(const AgentEntry&) const = default;
 };
 
+/** Silence limit of an agent that this balancer has not asked for a pace; it
+ * reports because an earlier start of the balancer did. */
+inline constexpr Duration kUnaskedSilenceLimit = Milliseconds(500);
+
 /** The last subscription that a balancer sent to an agent. */
 struct SentSubscription
 {
@@ -40,8 +44,9 @@
   TimePoint m_knownSince;
   /** Time of the last report; nothing before the first one. */
   std::optional<TimePoint> m_heardAt;
-  /** Silence after which it gets no new flows. */
-  Duration m_silenceLimit{ 0 };
+  /** Silence after which it gets no new flows; follows from the pace that it
+   * is asked for. */
+  Duration m_silenceLimit = kUnaskedSilenceLimit;
   ServerLoad m_load;
   std::optional<SentSubscription> m_subscribed;
 
--- a/test/correctness/SilentAgents.cpp
+++ b/test/correctness/SilentAgents.cpp
@@ -49,6 +49,29 @@
 
 } // namespace
 
+// A balancer that starts anew hears agents that its earlier life asked, before
+// it has asked them itself.
+Test(SilentAgents, AnAgentThatReportsUnaskedGetsFlows)
+{
+  TwoAgents two;
+  constexpr uint32_t kUnasked = 0x0A010003;
+  Endpoint images{ kDesk.m_ip, 8080 };
+  auto routes = std::make_shared<RouteTable>();
+  routes->m_version = 2;
+  routes->m_routes[images] = { "images", images, { { "images", 1 } }, 1, {} };
+  two.m_balancer.SetRoutes(routes);
+  two.m_balancer.Agents().SetListed(
+    two.m_now, 1, { { "images", "a", { kUnasked, 8000 } } });
+  AgentReport report = ReadyReport({ kUnasked, 8000 }, "a");
+  report.m_service = "images";
+  two.m_balancer.Agents().OnReport(two.m_now, report);
+  two.m_now += Milliseconds(1);
+  PacketHeader opening = OpeningPacket();
+  opening.m_destination = images;
+  const auto& steps = two.m_balancer.OnCallerPacket(two.m_now, opening, {});
+  cr_assert_eq(steps.front().m_agentIp, kUnasked);
+}
+
 // The agent may have died just after its last report; a copy of the opening
 // packet says that something went wrong.
 Test(SilentAgents, ACopyGoesElsewhereWhenAReportIsMissing)
