Try all agents that cannot tell at once; know a server's flows from its start

Balancers and agents had been killed; several agents that had started after their servers answered "possible" and were tried one after the other, each until its hand-back came or for 500 ms, and a silent one counted as the owner. On a slow VM hand-backs came later than that. After a loss of power every agent answered "possible" for 60 s, although its server had started with it.

Change: the packets go to up to 16 such agents together; the flow's own server answers its caller, so its agent can tell when it is asked again after 30 ms. Of several silent ones none is chosen. An agent that hears the first heartbeat of a server knows all its flows.

Tests: FlowSearch::ChoosesNoneOfSeveralThatStaySilent, TriesAllAgentsThat- CannotTellAtOnce (replaces TriesAgentsThatCannotTellOneAfterTheOther, whose order was the fault; as strict on the end of the search) and ServerIncarnations::OnlyALaterHeartbeatTellsOfAnEarlierLife, which failed before.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -301,7 +301,7 @@
           FlowReason::Searched,
           aStep.m_flow,
           aStep.m_ack);
-      m_steps.back().m_ask = std::move(aStep.m_ask);
+      m_steps.back().m_ask = std::move(aStep.m_agents);
       return;
     case SearchMove::Lost:
       return Add(IsAgentListWhole(aNow) ? FlowBalancerAction::Reset
@@ -312,10 +312,15 @@
     case SearchMove::GiveUp:
       return Add(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
     case SearchMove::Found:
+      return SendFound(std::move(aStep));
     case SearchMove::Try:
-      break;
+      return SendToEach(aStep);
   }
-  bool isFound = aStep.m_move == SearchMove::Found;
+}
+
+void
+FlowBalancer::SendFound(SearchStep aStep)
+{
   m_searchTimes.Add(aStep.m_took);
   Flow flow;
   flow.m_agentIp = aStep.m_agentIp;
@@ -327,12 +332,26 @@
       Add(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
       continue;
     }
-    Forward(
-      aStep.m_flow, *agent, isFound ? FlowReason::Found : FlowReason::Tried);
+    Forward(aStep.m_flow, *agent, FlowReason::Found);
     m_steps.back().m_held = std::move(packet);
   }
 }
 
+// Later packets are held until the search has a result.
+void
+FlowBalancer::SendToEach(const SearchStep& aStep)
+{
+  for (uint32_t ip : aStep.m_agents) {
+    const KnownAgent* agent = m_agents.Find(ip);
+    for (const std::vector<uint8_t>& packet : aStep.m_held) {
+      if (agent) {
+        Forward(aStep.m_flow, *agent, FlowReason::Tried);
+        m_steps.back().m_held = packet;
+      }
+    }
+  }
+}
+
 const std::vector<BalancerStep>&
 FlowBalancer::OnAnswer(TimePoint aNow,
                        uint32_t aAgentIp,
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -175,6 +175,8 @@
                       const Route& aRoute,
                       uint32_t aExceptIp) const;
   void Follow(TimePoint aNow, SearchStep aStep);
+  void SendFound(SearchStep aStep);
+  void SendToEach(const SearchStep& aStep);
   bool IsAgentListWhole(TimePoint aNow) const;
   void Forward(const FlowKey& aFlow,
                const KnownAgent& aAgent,
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -20,7 +20,11 @@
 constexpr Duration kAskAgainAfter = Milliseconds(250);
 /** Time after which a search ends without a result. */
 constexpr Duration kSearchLimit = Seconds(1);
-/** Time without a hand-back after which a tried agent has the flow. */
+/** Agents that get the same packets at a time. */
+constexpr size_t kMaxTried = 16;
+/** Time after which the agents that are tried are asked once more. */
+constexpr Duration kTryCheckAfter = Milliseconds(30);
+/** Time after which a try without a result ends. */
 constexpr Duration kTryLimit = Milliseconds(500);
 
 } // namespace
@@ -49,7 +53,7 @@
   step.m_move = SearchMove::Ask;
   step.m_flow = aFlow;
   step.m_ack = aAck;
-  step.m_ask = aScope.m_agents;
+  step.m_agents = aScope.m_agents;
   return step;
 }
 
@@ -81,19 +85,22 @@
   return step;
 }
 
-// The search keeps no copies: the agent hands back what its server does not
-// take.
+// Trying agents one after the other would take seconds while their servers'
+// answers are slow, and leave the flow's own server without its packets.
 SearchStep
-FlowSearches::TryNext(TimePoint aNow, Searches::iterator aFound)
+FlowSearches::TryAll(TimePoint aNow, Searches::iterator aFound)
 {
   Search& search = aFound->second;
-  search.m_trying = search.m_possible.back();
-  search.m_possible.pop_back();
+  size_t count = std::min(search.m_possible.size(), kMaxTried);
+  auto end = search.m_possible.begin() + static_cast<ptrdiff_t>(count);
+  search.m_trying.assign(search.m_possible.begin(), end);
+  search.m_possible.erase(search.m_possible.begin(), end);
   search.m_triedAt = aNow;
+  search.m_wasTryChecked = false;
   SearchStep step;
   step.m_move = SearchMove::Try;
   step.m_flow = aFound->first;
-  step.m_agentIp = search.m_trying;
+  step.m_agents = search.m_trying;
   step.m_held = std::move(search.m_held);
   step.m_took = aNow - search.m_startedAt;
   search.m_held.clear();
@@ -105,7 +112,7 @@
 FlowSearches::GoOn(TimePoint aNow, Searches::iterator aFound)
 {
   Search& search = aFound->second;
-  if (search.m_trying != 0) {
+  if (!search.m_trying.empty()) {
     return {};
   }
   bool isPatient =
@@ -114,7 +121,7 @@
     return {};
   }
   if (!search.m_possible.empty()) {
-    return TryNext(aNow, aFound);
+    return TryAll(aNow, aFound);
   }
   if (!search.m_unanswered.empty()) {
     return {};
@@ -148,60 +155,70 @@
   return GoOn(aNow, found);
 }
 
+// The packet is kept for the agents that are tried next only when no tried
+// agent is left that may have taken it.
 SearchStep
 FlowSearches::OnReturned(TimePoint aNow,
                          const FlowKey& aFlow,
                          uint32_t aAgentIp,
                          PacketBytes aBytes)
 {
-  Hold(aFlow, aBytes);
   auto found = m_searches.find(aFlow);
-  if (found->second.m_trying != aAgentIp) {
-    return {};
+  Search& search = found->second;
+  bool wasTried = std::erase(search.m_trying, aAgentIp) > 0;
+  if (search.m_trying.empty()) {
+    Hold(aFlow, aBytes);
   }
-  found->second.m_trying = 0;
-  return GoOn(aNow, found);
+  return wasTried ? GoOn(aNow, found) : SearchStep{};
 }
 
 SearchStep
-FlowSearches::AskAgain(Searches::iterator aFound)
+FlowSearches::Ask(Searches::iterator aFound,
+                  const std::vector<uint32_t>& aAgents)
 {
-  Search& search = aFound->second;
-  search.m_wasAskedAgain = true;
   SearchStep step;
   step.m_move = SearchMove::Ask;
   step.m_flow = aFound->first;
-  step.m_ack = search.m_ack;
-  step.m_ask = search.m_unanswered;
+  step.m_ack = aFound->second.m_ack;
+  step.m_agents = aAgents;
   return step;
 }
 
-// A tried agent that handed nothing back has the flow.
+// The server that has the flow has answered its caller by the time of the
+// check. One that is silent and hands nothing back may be slow; with a single
+// one left there is nothing to choose.
 SearchStep
-FlowSearches::EndTry(TimePoint aNow, Searches::iterator aFound)
+FlowSearches::CheckTry(TimePoint aNow, Searches::iterator aFound)
 {
-  const Search& search = aFound->second;
-  if (aNow - search.m_triedAt <= kTryLimit) {
-    return {};
-  }
-  SearchMove move =
-    search.m_held.empty() ? SearchMove::Wait : SearchMove::Found;
-  return End(aNow, aFound, move, search.m_trying);
+  Search& search = aFound->second;
+  Duration since = aNow - search.m_triedAt;
+  if (since > kTryLimit) {
+    bool isDecided = search.m_trying.size() == 1 && !search.m_held.empty();
+    uint32_t last = search.m_trying.front();
+    return End(
+      aNow, aFound, isDecided ? SearchMove::Found : SearchMove::Wait, last);
+  }
+  if (since > kTryCheckAfter && !search.m_wasTryChecked) {
+    search.m_wasTryChecked = true;
+    return Ask(aFound, search.m_trying);
+  }
+  return {};
 }
 
 SearchStep
 FlowSearches::OnTime(TimePoint aNow, Searches::iterator aFound)
 {
-  const Search& search = aFound->second;
+  Search& search = aFound->second;
   Duration age = aNow - search.m_startedAt;
-  if (search.m_trying != 0) {
-    return EndTry(aNow, aFound);
+  if (!search.m_trying.empty()) {
+    return CheckTry(aNow, aFound);
   }
   if (age > kSearchLimit) {
     return End(aNow, aFound, SearchMove::GiveUp, 0);
   }
   if (age > kAskAgainAfter && !search.m_wasAskedAgain) {
-    return AskAgain(aFound);
+    search.m_wasAskedAgain = true;
+    return Ask(aFound, search.m_unanswered);
   }
   return GoOn(aNow, aFound);
 }
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -14,7 +14,7 @@
   Wait,   /**< For answers, or for the end of a try. */
   Ask,    /**< The agents of the step have to be asked. */
   Found,  /**< The agent of the step has the flow. */
-  Try,    /**< The agent of the step may have it and gets the packets. */
+  Try,    /**< The agents of the step may have it and get the packets. */
   Lost,   /**< All agents denied the flow. */
   GiveUp, /**< Answers are missing; the packets are dropped. */
 };
@@ -26,9 +26,11 @@
   FlowKey m_flow;
   /** Acknowledgement number of the caller's first packet. */
   uint32_t m_ack = 0;
+  /** The agent that was found. */
   uint32_t m_agentIp = 0;
-  std::vector<uint32_t> m_ask;
-  /** Packets for the agent, when one was found or is tried. */
+  /** Agents to ask, or to try. */
+  std::vector<uint32_t> m_agents;
+  /** Packets for the agent that was found, or for each that is tried. */
   std::vector<std::vector<uint8_t>> m_held;
   /** Time since the search began. */
   Duration m_took{ 0 };
@@ -45,7 +47,9 @@
 /**
  * Finds the agents of flows that a balancer does not know. All agents of the
  * flow's service are asked at once; those that cannot tell, because they
- * started after their servers, are tried one after the other.
+ * started after their servers, get the packets. The flow's server answers its
+ * caller, so that its agent can tell when it is asked again; other servers send
+ * the packets back.
  */
 class FlowSearches
 {
@@ -70,7 +74,7 @@
                       uint32_t aAgentIp,
                       const FlowAnswer& aAnswer);
 
-  /** The agent that was tried handed a packet back. */
+  /** An agent that was tried handed a packet back. */
   SearchStep OnReturned(TimePoint aNow,
                         const FlowKey& aFlow,
                         uint32_t aAgentIp,
@@ -90,9 +94,11 @@
     std::vector<uint32_t> m_unanswered;
     /** Agents that may have the flow and were not tried yet. */
     std::vector<uint32_t> m_possible;
-    /** Agent that has the packets now; 0 when none. */
-    uint32_t m_trying = 0;
+    /** Agents that have the packets now. */
+    std::vector<uint32_t> m_trying;
     TimePoint m_triedAt;
+    bool m_wasTryChecked = false;
+    /** Packets that no agent has got yet. */
     std::vector<std::vector<uint8_t>> m_held;
   };
   using Searches = absl::flat_hash_map<FlowKey, Search>;
@@ -101,10 +107,11 @@
                  Searches::iterator aFound,
                  SearchMove aMove,
                  uint32_t aAgentIp);
-  SearchStep TryNext(TimePoint aNow, Searches::iterator aFound);
+  SearchStep TryAll(TimePoint aNow, Searches::iterator aFound);
   SearchStep GoOn(TimePoint aNow, Searches::iterator aFound);
-  static SearchStep AskAgain(Searches::iterator aFound);
-  SearchStep EndTry(TimePoint aNow, Searches::iterator aFound);
+  static SearchStep Ask(Searches::iterator aFound,
+                        const std::vector<uint32_t>& aAgents);
+  SearchStep CheckTry(TimePoint aNow, Searches::iterator aFound);
   SearchStep OnTime(TimePoint aNow, Searches::iterator aFound);
 
   Searches m_searches;
--- a/packages/flow/ServerTracker.cpp
+++ b/packages/flow/ServerTracker.cpp
@@ -2,6 +2,13 @@
 
 namespace bilberryfield {
 
+namespace {
+
+/** Number of the first heartbeat of an incarnation. */
+constexpr uint64_t kFirstSequence = 1;
+
+} // namespace
+
 HeartbeatEnd
 ServerTracker::OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat)
 {
@@ -22,14 +29,15 @@
   }
   // A drain is final for an incarnation.
   bool wasDraining = isSame && m_latest->m_isDraining;
-  bool isFirst = !m_latest;
+  // A server whose first call is heard here has no flows from before.
+  bool isKnownFromStart = m_latest || aHeartbeat.m_sequence <= kFirstSequence;
   m_latest = aHeartbeat;
   m_latest->m_isDraining = aHeartbeat.m_isDraining || wasDraining;
   m_lastHeard = aNow;
   m_isGone = false;
   m_isSilent = false;
-  return isSame || isFirst ? HeartbeatEnd::Accepted
-                           : HeartbeatEnd::NewIncarnation;
+  return isSame || !isKnownFromStart ? HeartbeatEnd::Accepted
+                                     : HeartbeatEnd::NewIncarnation;
 }
 
 void
--- a/test/correctness/FlowSearch.cpp
+++ b/test/correctness/FlowSearch.cpp
@@ -73,7 +73,7 @@
     for (const SearchStep& step :
          one.m_searches.OnTick(kStart + i * Milliseconds(20))) {
       cr_assert(step.m_move == SearchMove::Ask);
-      asked.insert(asked.end(), step.m_ask.begin(), step.m_ask.end());
+      asked.insert(asked.end(), step.m_agents.begin(), step.m_agents.end());
     }
   }
   cr_assert(asked == std::vector<uint32_t>({ 2, 3 }));
@@ -94,24 +94,65 @@
   cr_assert_not(one.m_searches.Contains(FlowNumber(1)));
 }
 
-Test(FlowSearch, TriesAgentsThatCannotTellOneAfterTheOther)
+// The flow's own server has to get a packet soon, however many agents started
+// after their servers and however slowly wrong ones hand packets back.
+Test(FlowSearch, TriesAllAgentsThatCannotTellAtOnce)
 {
   OneSearch one;
   one.Answer(Milliseconds(1), 1, FlowOwnership::Possible);
   one.Answer(Milliseconds(1), 2, FlowOwnership::No);
   SearchStep first = one.Answer(Milliseconds(2), 3, FlowOwnership::Possible);
   cr_assert(first.m_move == SearchMove::Try);
-  SearchStep second = one.m_searches.OnReturned(
-    kStart + Milliseconds(4), FlowNumber(1), first.m_agentIp, kPacket);
-  cr_assert(second.m_move == SearchMove::Try);
-  cr_assert_neq(second.m_agentIp, first.m_agentIp);
-  cr_assert_eq(second.m_held.size(), 1);
-  SearchStep last = one.m_searches.OnReturned(
-    kStart + Milliseconds(6), FlowNumber(1), second.m_agentIp, kPacket);
+  cr_assert(first.m_agents == std::vector<uint32_t>({ 1, 3 }));
+  cr_assert_eq(first.m_held.size(), 1);
+  auto giveBack = [&](uint32_t aAgentIp) {
+    return one.m_searches.OnReturned(
+      kStart + Milliseconds(4), FlowNumber(1), aAgentIp, kPacket);
+  };
+  cr_assert(giveBack(1).m_move == SearchMove::Wait);
+  SearchStep last = giveBack(3);
   cr_assert(last.m_move == SearchMove::Lost);
   cr_assert_eq(last.m_ack, 7);
 }
 
+Test(FlowSearch, FindsTheAgentWhoseServerAnsweredDuringTheTry)
+{
+  OneSearch one;
+  one.Answer(Milliseconds(1), 1, FlowOwnership::Possible);
+  one.Answer(Milliseconds(1), 2, FlowOwnership::Possible);
+  one.Answer(Milliseconds(2), 3, FlowOwnership::Possible);
+  one.m_searches.OnReturned(
+    kStart + Milliseconds(4), FlowNumber(1), 1, kPacket);
+  one.m_searches.Hold(FlowNumber(1), kPacket);
+  std::vector<SearchStep> due =
+    one.m_searches.OnTick(kStart + Milliseconds(40));
+  cr_assert_eq(due.size(), 1);
+  cr_assert(due[0].m_move == SearchMove::Ask);
+  cr_assert(due[0].m_agents == std::vector<uint32_t>({ 2, 3 }));
+  SearchStep found = one.Answer(Milliseconds(42), 2, FlowOwnership::Yes);
+  cr_assert(found.m_move == SearchMove::Found);
+  cr_assert_eq(found.m_agentIp, 2);
+  cr_assert_eq(found.m_held.size(), 1);
+}
+
+// A slow VM hears the hand-backs late; it must not take a server for the
+// flow's own only because it was the first to be tried.
+Test(FlowSearch, ChoosesNoneOfSeveralThatStaySilent)
+{
+  OneSearch one;
+  one.Answer(Milliseconds(1), 1, FlowOwnership::Possible);
+  one.Answer(Milliseconds(1), 2, FlowOwnership::Possible);
+  one.Answer(Milliseconds(2), 3, FlowOwnership::No);
+  one.m_searches.Hold(FlowNumber(1), kPacket);
+  for (int i = 1; i < 60; ++i) {
+    for (const SearchStep& step :
+         one.m_searches.OnTick(kStart + i * Milliseconds(20))) {
+      cr_assert(step.m_move != SearchMove::Found);
+    }
+  }
+  cr_assert_not(one.m_searches.Contains(FlowNumber(1)));
+}
+
 Test(FlowSearch, BoundsTheAnswersThatAreAwaited)
 {
   FlowSearches searches;
--- a/test/correctness/ServerIncarnations.cpp
+++ b/test/correctness/ServerIncarnations.cpp
@@ -56,6 +56,17 @@
   cr_assert(tracker.Condition(kStart) == ServerCondition::Ready);
 }
 
+// Only then can the server hold flows that this process never saw.
+Test(ServerIncarnations, OnlyALaterHeartbeatTellsOfAnEarlierLife)
+{
+  ServerTracker together(kEvery);
+  cr_assert(together.OnHeartbeat(kStart, Heartbeat("s", 1000, 1)) ==
+            HeartbeatEnd::NewIncarnation);
+  ServerTracker after(kEvery);
+  cr_assert(after.OnHeartbeat(kStart, Heartbeat("s", 1000, 2)) ==
+            HeartbeatEnd::Accepted);
+}
+
 // The time of day may have jumped back between two starts.
 Test(ServerIncarnations, AnOlderBirthIsBelievedOnceTheOtherIsSilent)
 {
