Serve open flows and new callers first when a VM cannot keep up

Cause: a full balancer read datagrams in the order of arrival from a buffer that holds seconds of them, so that after a loss of power it placed openings whose callers had given up, and packets of open flows waited behind them.

What is left out is counted; its callers send a copy soon.

--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -74,6 +74,7 @@
   };
   return m_loop.Open(m_settings.m_packetListen, onCaller, m_callers)
     .and_then([&] {
+      m_callers->AfterEachSeries([this] { PlaceOpenings(); });
       return m_loop.Open(
         { ip, m_settings.m_handBackPort }, onHandedBack, m_handBack);
     })
@@ -270,9 +271,22 @@
   }
   TimePoint now = FlowLoop::Now();
   m_lastCallerPacket = now;
+  if (header->IsOpening()) {
+    return m_openings.Add(*header, aBytes);
+  }
   Execute(m_core.OnCallerPacket(now, *header, aBytes), aBytes);
 }
 
+// Packets of open flows go first: what their servers do is lost otherwise.
+void
+BalancerDaemon::PlaceOpenings()
+{
+  m_openings.TakeAll(
+    FlowLoop::Now, [this](const PacketHeader& aHeader, auto aBytes) {
+      Execute(m_core.OnCallerPacket(FlowLoop::Now(), aHeader, aBytes), aBytes);
+    });
+}
+
 void
 BalancerDaemon::OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom)
 {
@@ -404,6 +418,7 @@
   text.Add("bilberry_agents_revision", m_core.Agents().Revision());
   text.Add("bilberry_ready", m_isReady ? 1 : 0);
   text.Add("bilberry_malformed_packets_total", m_malformed);
+  text.Add("bilberry_openings_left_out_total", m_openings.LeftOut());
   text.Add("bilberry_send_failures_total",
            m_callers->SendFailures() + m_handBack->SendFailures() +
              m_control.SendFailures());
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -5,6 +5,7 @@
 #include "FlowBalancer.h"
 #include "FlowLoop.h"
 #include "FlowSettings.h"
+#include "OpeningBacklog.h"
 #include "PeerSync.h"
 #include "StoreFollower.h"
 
@@ -29,6 +30,7 @@
   Result<void> OpenSockets();
   Result<void> StartServers();
   void OnCallerDatagram(std::span<uint8_t> aBytes);
+  void PlaceOpenings();
   void OnHandedBack(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnControl(const FlowMessage& aMessage, uint32_t aFromIp);
   void OnConfigObjects(const StoreFollower::Objects& aObjects);
@@ -56,6 +58,7 @@
   ControlChannel m_control;
   StoreClient m_store;
   FlowBalancer m_core;
+  OpeningBacklog m_openings;
   StoreFollower m_routesFollower;
   StoreFollower m_agentsFollower;
   PeerNews m_peerNews;
--- a/packages/flownode/FlowLoop.cpp
+++ b/packages/flownode/FlowLoop.cpp
@@ -12,11 +12,56 @@
 
 /** Longest datagram that is read; longer ones are cut and then rejected. */
 constexpr size_t kMaxDatagram = 2048;
+/** Datagrams read by one system call. */
+constexpr size_t kBatch = 32;
 /** Datagrams read in a row before timers get their turn. */
-constexpr int kMaxInRow = 64;
+constexpr size_t kMaxInRow = 256;
 /** Bytes that wait in the kernel while this process is busy. */
 constexpr int kReceiveBuffer = 512 * 1024;
 
+/** Buffers for the datagrams of one system call. */
+class ReceiveBatch
+{
+public:
+  ReceiveBatch()
+  {
+    for (size_t i = 0; i < kBatch; ++i) {
+      m_parts[i] = { m_bytes[i].data(), kMaxDatagram };
+      m_messages[i].msg_hdr.msg_iov = &m_parts[i];
+      m_messages[i].msg_hdr.msg_iovlen = 1;
+      m_messages[i].msg_hdr.msg_name = &m_from[i];
+    }
+  }
+
+  /** Reads what has arrived, without waiting; the number of datagrams. */
+  size_t Receive(int aSocket)
+  {
+    for (mmsghdr& message : m_messages) {
+      message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+    int count =
+      recvmmsg(aSocket, m_messages.data(), kBatch, MSG_DONTWAIT, nullptr);
+    return count > 0 ? static_cast<size_t>(count) : 0;
+  }
+
+  std::span<uint8_t> Bytes(size_t aIndex)
+  {
+    return { m_bytes[aIndex].data(), m_messages[aIndex].msg_len };
+  }
+
+  Endpoint From(size_t aIndex) const
+  {
+    return { ntohl(m_from[aIndex].sin_addr.s_addr),
+             ntohs(m_from[aIndex].sin_port) };
+  }
+
+private:
+  std::array<std::array<uint8_t, kMaxDatagram>, kBatch> m_bytes{};
+  std::array<iovec, kBatch> m_parts{};
+  std::array<sockaddr_in, kBatch> m_from{};
+  std::array<mmsghdr, kBatch> m_messages{};
+};
+
 } // namespace
 
 FlowLoop::FlowLoop()
@@ -127,21 +172,19 @@
 void
 FlowLoop::Socket::Drain()
 {
-  std::array<uint8_t, kMaxDatagram> buffer;
-  for (int i = 0; i < kMaxInRow; ++i) {
-    sockaddr_in from{};
-    socklen_t length = sizeof(from);
-    ssize_t count = ::recvfrom(m_socket.native_handle(),
-                               buffer.data(),
-                               buffer.size(),
-                               MSG_DONTWAIT,
-                               reinterpret_cast<sockaddr*>(&from),
-                               &length);
-    if (count < 0) {
-      return;
+  // Sockets of a loop are read one after the other, so one batch serves all.
+  static thread_local ReceiveBatch batch;
+  size_t total = 0;
+  size_t count = 0;
+  do {
+    count = batch.Receive(m_socket.native_handle());
+    for (size_t i = 0; i < count; ++i) {
+      m_onDatagram(batch.Bytes(i), batch.From(i));
     }
-    m_onDatagram({ buffer.data(), static_cast<size_t>(count) },
-                 { ntohl(from.sin_addr.s_addr), ntohs(from.sin_port) });
+    total += count;
+  } while (count == kBatch && total < kMaxInRow);
+  if (total > 0 && m_onDrained) {
+    m_onDrained();
   }
 }
 
--- a/packages/flownode/FlowLoop.h
+++ b/packages/flownode/FlowLoop.h
@@ -19,6 +19,8 @@
   /** Takes a datagram; the bytes may be changed in place. */
   using OnDatagram =
     std::function<void(std::span<uint8_t>, const Endpoint& aFrom)>;
+  /** Called when the datagrams that had arrived were all handed over. */
+  using OnDrained = std::function<void()>;
   class Socket;
 
   FlowLoop();
@@ -58,6 +60,12 @@
 public:
   Socket(boost::asio::io_context& aIo, OnDatagram aOnDatagram);
 
+  /** Sets what follows each series of datagrams. */
+  void AfterEachSeries(OnDrained aOnDrained)
+  {
+    m_onDrained = std::move(aOnDrained);
+  }
+
   Result<void> Bind(const Endpoint& aAddress);
 
   /** Sends a datagram, or counts it as dropped when the socket is full. */
@@ -71,6 +79,7 @@
 
   boost::asio::ip::udp::socket m_socket;
   OnDatagram m_onDatagram;
+  OnDrained m_onDrained;
   uint64_t m_sendFailures = 0;
 };
 
