Spend less on hand-backs: spread choices, openings count half, limits when behind

Logs of a thin balancer: 200 placements and 100 hand-backs a second, nearly all "full", with servers at half of their load. Three causes: balancers that see the same old reports choose the same emptiest servers; an agent counts a flow as busy from its opening packet on, so the slower the balancers are, the fuller idle servers look; and a balancer that is late spends its time on hand-backs that make it later. Ruled out: searches (31 in 13 s), reading configurations.

Change: choices among servers with a free slot are spread wider; an agent counts an opening half until its request comes; a balancer whose ticks come late lets flows wait at servers after two hand-backs.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -141,7 +141,7 @@
   if (condition != ServerCondition::Ready) {
     return GiveBack(HandBack::NotAccepting, aBalancerIp);
   }
-  if (m_busy >= Load().m_slots && m_busy >= aHeader.m_mark) {
+  if (HasNoFreeSlot() && m_busy >= aHeader.m_mark) {
     return GiveBack(HandBack::Full, aBalancerIp);
   }
   m_denied.Erase(key);
@@ -156,6 +156,18 @@
   return { FlowAgentAction::Deliver };
 }
 
+// A flow needs its slot from its request on. While balancers are slow, many
+// flows wait for the caller's next packet; counted in full they would make
+// idle servers look full, and hand-backs would slow the balancers down further.
+bool
+FlowAgent::HasNoFreeSlot() const
+{
+  constexpr uint32_t kRequestWeight = 2;
+  uint32_t opening = m_busy - m_requested;
+  return kRequestWeight * m_requested + opening >=
+         kRequestWeight * Load().m_slots;
+}
+
 AgentVerdict
 FlowAgent::OnServerPacket(TimePoint aNow, const PacketHeader& aHeader)
 {
@@ -253,6 +265,8 @@
 {
   bool wasBusy = IsBusy(aFlow.m_phase);
   bool isBusy = IsBusy(aPhase);
+  m_requested -= aFlow.m_phase == Phase::Requested ? 1 : 0;
+  m_requested += aPhase == Phase::Requested ? 1 : 0;
   aFlow.m_phase = aPhase;
   if (isBusy && !wasBusy) {
     aFlow.m_busySince = aNow;
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -154,6 +154,8 @@
   AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp);
   bool MayMissFlows(TimePoint aNow) const;
   static bool IsBusy(Phase aPhase);
+  /** True when new flows would wait for a slot. */
+  bool HasNoFreeSlot() const;
   static bool IsOtherServers(const Flow& aFlow, uint32_t aAck);
   void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
   void EndStuckFlows(TimePoint aNow);
@@ -169,7 +171,10 @@
   /** Flows that the server sent back; it does not have them. */
   GenerationMap<FlowKey, bool> m_denied;
   TimePoint m_nextPeriod;
+  /** Flows whose opening packet or request is at the server. */
   uint32_t m_busy = 0;
+  /** Those of m_busy whose request is at the server. */
+  uint32_t m_requested = 0;
   double m_answerUs = 0;
   LatencyHistogram m_answerTimes;
   std::array<uint64_t, static_cast<size_t>(HandBack::Count)> m_handedBack{};
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -9,6 +9,12 @@
 constexpr size_t kMaxFlows = 500'000;
 /** Hand-backs after which a new flow waits for a slot, however long. */
 constexpr uint8_t kTriesWithLimit = 5;
+/** As kTriesWithLimit, at a balancer that cannot keep up. */
+constexpr uint8_t kTriesWhenBehind = 2;
+/** Time between two ticks from which on a balancer counts as behind. */
+constexpr Duration kLateTick = Milliseconds(60);
+/** Time for which it then counts as behind. */
+constexpr Duration kBehindFor = Seconds(1);
 /** A longer gap between two events is a pause of this process. */
 constexpr Duration kPauseLimit = Milliseconds(150);
 /** Time after which a list of agents from the store is known to be whole. */
@@ -176,8 +182,20 @@
   if (agent.m_heardAt) {
     step.m_loadAge = aNow - *agent.m_heardAt;
   }
-  step.m_mark =
-    flow->m_tryCount < kTriesWithLimit ? choice->m_busyLimit : kAnyQueue;
+  step.m_mark = BusyLimit(aNow, choice->m_busyLimit, flow->m_tryCount);
+}
+
+// A hand-back costs the balancer as much as the placement did. One that cannot
+// keep up lets a flow wait at its server sooner: the wait is shorter than what
+// the balancer's own queue would add for everyone.
+uint32_t
+FlowBalancer::BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const
+{
+  bool isBehind = aNow < m_behindUntil;
+  if (aTries >= (isBehind ? kTriesWhenBehind : kTriesWithLimit)) {
+    return kAnyQueue;
+  }
+  return isBehind ? aChosen + aTries + 1 : aChosen;
 }
 
 void
@@ -397,6 +415,10 @@
 {
   m_steps.clear();
   CountPause(aNow);
+  if (m_lastTick && aNow - *m_lastTick > kLateTick) {
+    m_behindUntil = aNow + kBehindFor;
+  }
+  m_lastTick = aNow;
   m_agents.OnTick(aNow);
   if (m_agents.HearsAny(aNow)) {
     m_lastHeardAny = aNow;
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -161,6 +161,8 @@
                     const PacketHeader& aHeader,
                     const Route& aRoute,
                     bool aIsAgain);
+  /** Busy flows at a server up to which it may take a new flow. */
+  uint32_t BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const;
   /** Ends a new flow that no server can take. */
   void RefuseOpening(TimePoint aNow,
                      const PacketHeader& aHeader,
@@ -202,6 +204,9 @@
   /** Since when the list of agents is the newest one. */
   std::optional<TimePoint> m_agentsCurrentSince;
   TimePoint m_nextPeriod;
+  std::optional<TimePoint> m_lastTick;
+  /** This process gets too little processor time until then. */
+  TimePoint m_behindUntil;
 };
 
 } // namespace bilberryfield
--- a/packages/flow/Placement.cpp
+++ b/packages/flow/Placement.cpp
@@ -14,8 +14,8 @@
 constexpr double kSlowFactor = 2.0;
 /** Prefers emptier servers among those with a free slot. */
 constexpr double kOccupancyCost = 0.1;
-/** Spreads the choices of balancers that see the same load. */
-constexpr double kTieSpread = 0.05;
+/** Spreads the choices of balancers that see the same, somewhat old, load. */
+constexpr double kTieSpread = 0.3;
 
 /** Flows that other balancers may have placed at a full server unseen before
  * the choice is made again. */
