Bound how long a silent watch hides a change; pause longer between large lists

Two faults of the followers of the store, one file (StorePace).

Traced: a connection that swallows what it carries stays up; each balancer's watch then waits 25 s for an answer that is lost, also after the link is whole, and keep-alive probes are answered by what swallows. Ruled out: dropped history and lost answers, which the follower takes in.

The pause is now 10 ms for each object, 150 ms to 2 s; in it the list does not count as whole, so no open flow is reset because an agent is not listed yet.

--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -8,6 +8,7 @@
 #include "MetricsText.h"
 #include "OperatorConfig.h"
 #include "PacketCodec.h"
+#include "StorePace.h"
 
 namespace bilberryfield {
 
@@ -35,13 +36,19 @@
       m_loop,
       m_store,
       kConfigKind,
-      [this](const auto& aObjects, uint64_t) { OnConfigObjects(aObjects); })
-  , m_agentsFollower(m_loop,
-                     m_store,
-                     kAgentKind,
-                     [this](const auto& aObjects, uint64_t aRevision) {
-                       OnAgents(aObjects, aRevision);
-                     })
+      [this](const auto& aObjects, uint64_t) { OnConfigObjects(aObjects); },
+      [this] {
+        std::uniform_real_distribution<double> draw(0, 1);
+        return ConfigWatchWait(m_core.Agents().All().size(), draw(m_random));
+      })
+  , m_agentsFollower(
+      m_loop,
+      m_store,
+      kAgentKind,
+      [this](const auto& aObjects, uint64_t aRevision) {
+        OnAgents(aObjects, aRevision);
+      },
+      [] { return kLongestWatchWait; })
   , m_peerSync(m_loop,
                aSettings.m_seeds,
                aSettings.m_adminListen,
@@ -430,7 +437,7 @@
 BalancerDaemon::OnTick()
 {
   TimePoint now = FlowLoop::Now();
-  m_core.SetAgentsCurrent(now, m_agentsFollower.IsConnected());
+  m_core.SetAgentsCurrent(now, m_agentsFollower.IsCurrent());
   Execute(m_core.OnTick(now), {});
   bool isReady = !m_stoppingSince && m_core.IsReady(now);
   if (isReady != m_isReady) {
--- a/packages/flownode/StoreFollower.cpp
+++ b/packages/flownode/StoreFollower.cpp
@@ -1,6 +1,7 @@
 #include "StoreFollower.h"
 
 #include "Log.h"
+#include "StorePace.h"
 
 #include <algorithm>
 
@@ -8,10 +9,6 @@
 
 namespace {
 
-/** Each watch costs a call when it ends, so it waits long. */
-constexpr Duration kWatchWait = Seconds(25);
-/** Pause after a change before the next watch. */
-constexpr Duration kGatherChanges = Milliseconds(150);
 constexpr Duration kFirstRetry = Milliseconds(100);
 constexpr Duration kMaxRetry = Milliseconds(800);
 /** As kMaxRetry, while nothing is known yet and no caller can be served. */
@@ -29,11 +26,13 @@
 StoreFollower::StoreFollower(FlowLoop& aLoop,
                              StoreClient& aStore,
                              std::string aKind,
-                             OnChange aOnChange)
+                             OnChange aOnChange,
+                             WatchWait aWatchWait)
   : m_loop(aLoop)
   , m_store(aStore)
   , m_kind(std::move(aKind))
   , m_onChange(std::move(aOnChange))
+  , m_watchWait(std::move(aWatchWait))
 {
 }
 
@@ -71,7 +70,7 @@
 StoreFollower::Watch()
 {
   m_store.Watch(
-    m_kind, m_revision, kWatchWait, [this](Result<StoreChanges> aChanges) {
+    m_kind, m_revision, m_watchWait(), [this](Result<StoreChanges> aChanges) {
       m_loop.Post([this, changes = std::move(aChanges)]() mutable {
         OnChanges(std::move(changes));
       });
@@ -104,8 +103,18 @@
     return Watch();
   }
   m_onChange(m_objects, m_revision);
-  // Changes often come in series; one call then brings several.
-  m_loop.After(kGatherChanges, [this] { Watch(); });
+  GatherChanges();
+}
+
+void
+StoreFollower::GatherChanges()
+{
+  Duration pause = GatheringPause(m_objects.size());
+  m_isGathering = pause > kShortestGatheringPause;
+  m_loop.After(pause, [this] {
+    m_isGathering = false;
+    Watch();
+  });
 }
 
 void
--- a/test/process/FaultSoak.cpp
+++ b/test/process/FaultSoak.cpp
@@ -37,3 +37,10 @@
 {
   cr_assert_eq(EndOfSeed(3), 0);
 }
+
+// Failed: connections that swallowed what they carried left all watches waiting
+// for 25 s, and no balancer heard of the newest configuration.
+Test(FaultSoak, Seed70411)
+{
+  cr_assert_eq(EndOfSeed(70411), 0);
+}
