--- a/packages/flow/StorePace.cpp
+++ b/packages/flow/StorePace.cpp
@@ -8,8 +8,8 @@
 
 constexpr Duration kLongestPause = Seconds(2);
 constexpr Duration kPausePerObject = Milliseconds(10);
-constexpr Duration kShortestWatchWait = Milliseconds(1500);
-constexpr Duration kWatchWaitPerAgent = Milliseconds(150);
+constexpr Duration kShortestWatchWait = Seconds(4);
+constexpr Duration kWatchWaitPerAgent = Milliseconds(400);
 /** Part of the longest wait that the draw may take away. */
 constexpr double kWatchSpread = 0.4;
 
