--- /dev/null
+++ b/test/error/LateAnswers.cpp
@@ -0,0 +1,111 @@
+// A server that sends an answer twice must not give the second copy to the next
+// caller.
+
+#include "HttpClient.h"
+
+#include <boost/asio.hpp>
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace bilberryfield;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/** Answers each request with its own path, and then once more. */
+class RepeatingServer
+{
+public:
+  explicit RepeatingServer(std::chrono::milliseconds aPause)
+    : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , m_pause(aPause)
+    , m_thread([this] { Serve(); })
+  {
+  }
+
+  ~RepeatingServer()
+  {
+    m_isEnding = true;
+    tcp::socket last(m_io);
+    last.connect(m_acceptor.local_endpoint());
+    m_thread.join();
+    for (std::thread& session : m_sessions) {
+      session.join();
+    }
+  }
+
+  std::string Host() const
+  {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+
+private:
+  void Serve()
+  {
+    while (true) {
+      auto socket = std::make_shared<tcp::socket>(m_acceptor.accept());
+      if (m_isEnding) {
+        return;
+      }
+      m_sessions.emplace_back([this, socket] { Answer(*socket); });
+    }
+  }
+
+  void Answer(tcp::socket& aSocket) const
+  {
+    asio::streambuf buffer;
+    boost::system::error_code error;
+    while (asio::read_until(aSocket, buffer, "\r\n\r\n", error) > 0) {
+      std::istream request(&buffer);
+      std::string method;
+      std::string path;
+      request >> method >> path;
+      buffer.consume(buffer.size());
+      std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) +
+        "\r\n\r\n" + path;
+      asio::write(aSocket, asio::buffer(answer), error);
+      std::this_thread::sleep_for(m_pause);
+      asio::write(aSocket, asio::buffer(answer), error);
+    }
+  }
+
+  asio::io_context m_io;
+  tcp::acceptor m_acceptor;
+  std::chrono::milliseconds m_pause;
+  std::atomic<bool> m_isEnding{ false };
+  std::vector<std::thread> m_sessions;
+  std::thread m_thread;
+};
+
+// Calls one after the other, each a while after the one before.
+void
+ExpectOwnAnswers(std::chrono::milliseconds aServerPause)
+{
+  RepeatingServer server(aServerPause);
+  HttpClient client(HttpClientOptions{});
+  for (int i = 0; i < 5; ++i) {
+    HttpCall call;
+    call.m_host = server.Host();
+    call.m_path = "/call-" + std::to_string(i);
+    call.m_timeout = Seconds(2);
+    HttpResult result = client.SendAndWait(call);
+    cr_assert(result.m_end == HttpEnd::Answered);
+    cr_assert(result.m_body == call.m_path, "%s", result.m_body.c_str());
+    std::this_thread::sleep_for(Milliseconds(60));
+  }
+}
+
+} // namespace
+
+Test(LateAnswers, ACopyThatComesWithTheAnswerIsNotTheNextOnes)
+{
+  ExpectOwnAnswers(std::chrono::milliseconds(0));
+}
+
+Test(LateAnswers, ACopyThatComesOnAnIdleConnectionIsNotTheNextOnes)
+{
+  ExpectOwnAnswers(std::chrono::milliseconds(30));
+}
