Serve the most urgent of the waiting openings first

Ruled out: order of priority without a bound, which would starve the others when urgent callers alone are too many; one in five goes to the others. Change: an opening packet's mark carries its route's priority beside the bound of its load (OpeningTerms); among equal copy numbers the more urgent go first. Tests: WaitingCallers::WithUrgentRequestsGoBeforeOthers, WithLessUrgentRequestsAreNotStarved.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -160,13 +160,14 @@
   if (condition != ServerCondition::Ready) {
     return GiveBack(HandBack::NotAccepting, aBalancerIp);
   }
-  WaitingOpening opening{ aHeader,
-                          aBalancerIp,
-                          { aBytes.begin(), aBytes.end() } };
+  OpeningTerms terms = OpeningTerms::Unpack(aHeader.m_mark);
+  WaitingOpening opening{
+    aHeader, aBalancerIp, terms.m_priority, { aBytes.begin(), aBytes.end() }
+  };
   if (m_waiting.Contains(key)) {
     return LetWait(aNow, std::move(opening));
   }
-  if (HasNoFreeSlot() && Demand() >= aHeader.m_mark) {
+  if (HasNoFreeSlot() && Demand() >= terms.m_busyLimit) {
     return GiveBack(HandBack::Full, aBalancerIp);
   }
   if (!HasRoom()) {
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -26,6 +26,13 @@
 /** Time without any report after which this balancer is cut off. */
 constexpr Duration kCutOffLimit = Milliseconds(700);
 
+OpeningTerms
+TermsOf(const Route& aRoute, uint32_t aBusyLimit)
+{
+  uint32_t priority = std::min<uint32_t>(aRoute.m_priority, UINT8_MAX);
+  return { aBusyLimit, static_cast<uint8_t>(priority) };
+}
+
 } // namespace
 
 FlowBalancer::FlowBalancer(std::string aDomain, uint64_t aSeed)
@@ -133,7 +140,7 @@
   if (isCopy && m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
     // The first copy, or its answer, was lost on the way.
     Forward(key, *agent, FlowReason::Known);
-    m_steps.back().m_mark = kAnyQueue;
+    m_steps.back().m_mark = TermsOf(*route, kAnyQueue).Pack();
     return m_steps;
   }
   Flow opened = Opened(aHeader.m_seq);
@@ -190,7 +197,8 @@
   if (agent.m_heardAt) {
     step.m_loadAge = aNow - *agent.m_heardAt;
   }
-  step.m_mark = BusyLimit(aNow, choice->m_busyLimit, flow->m_tryCount);
+  uint32_t limit = BusyLimit(aNow, choice->m_busyLimit, flow->m_tryCount);
+  step.m_mark = TermsOf(aRoute, limit).Pack();
 }
 
 // While every server is full, callers that have just come go before those that
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -4,6 +4,7 @@
 #include "Packet.h"
 #include "Time.h"
 
+#include <algorithm>
 #include <variant>
 #include <vector>
 
@@ -233,10 +234,28 @@
   { HandBack::Bounced, "bounced" },
 } };
 
-/** Mark of an opening packet that an agent takes whatever its load. Other
- * marks are a bound: with as many busy flows and no free slot, the agent hands
- * the packet back. */
-inline constexpr uint32_t kAnyQueue = 0xFFFFFF;
+/** OpeningTerms::m_busyLimit of a packet that an agent takes whatever its load.
+ */
+inline constexpr uint32_t kAnyQueue = 0xFFFF;
+
+/** What a balancer says of an opening packet, in its mark. */
+struct OpeningTerms
+{
+  /** With as many busy flows and no free slot, the agent hands it back. */
+  uint32_t m_busyLimit = kAnyQueue;
+  /** Priority of the route; 0 is the most urgent. */
+  uint8_t m_priority = 0;
+
+  uint32_t Pack() const
+  {
+    return (static_cast<uint32_t>(m_priority) << 16U) |
+           std::min(m_busyLimit, kAnyQueue);
+  }
+  static OpeningTerms Unpack(uint32_t aMark)
+  {
+    return { aMark & 0xFFFFU, static_cast<uint8_t>(aMark >> 16U) };
+  }
+};
 
 /** Load in a packet's tag: busy flows and slots. */
 struct TaggedLoad
--- a/packages/flow/WaitingOpenings.cpp
+++ b/packages/flow/WaitingOpenings.cpp
@@ -30,7 +30,9 @@
   if (auto earlier = m_ranks.find(flow); earlier != m_ranks.end()) {
     Take(m_openings.find(earlier->second));
   }
-  Rank rank{ aOpening.m_header.CopyNumber(), m_nextRecency-- };
+  Rank rank{ aOpening.m_header.CopyNumber(),
+             aOpening.m_priority,
+             m_nextRecency-- };
   m_ranks.emplace(flow, rank);
   m_firstCopies += rank.m_copyNumber == 0 ? 1 : 0;
   m_openings.emplace(rank, Entry{ std::move(aOpening), aNow });
@@ -50,18 +52,44 @@
   return opening;
 }
 
+WaitingOpenings::Group
+WaitingOpenings::GroupAt(Entries::iterator aNewest)
+{
+  Rank end = aNewest->first;
+  end.m_recency = UINT64_MAX;
+  return { aNewest, std::prev(m_openings.upper_bound(end)) };
+}
+
+// Strict order of priority would leave nothing to the others when the urgent
+// callers alone are too many.
+WaitingOpenings::Group
+WaitingOpenings::NextGroup()
+{
+  Group urgent = GroupAt(m_openings.begin());
+  auto next = std::next(urgent.m_oldest);
+  bool hasLessUrgent =
+    next != m_openings.end() &&
+    next->first.m_copyNumber == urgent.m_newest->first.m_copyNumber;
+  if (!hasLessUrgent) {
+    return urgent;
+  }
+  m_urgentInRow += 1;
+  if (m_urgentInRow <= kUrgentInRow) {
+    return urgent;
+  }
+  m_urgentInRow = 0;
+  return GroupAt(next);
+}
+
 std::optional<WaitingOpening>
 WaitingOpenings::TakeNext(TimePoint aNow)
 {
   if (m_openings.empty()) {
     return std::nullopt;
   }
-  auto newest = m_openings.begin();
-  // The oldest of those with the same copy number.
-  auto oldest = std::prev(
-    m_openings.lower_bound(Rank{ newest->first.m_copyNumber + 1, 0 }));
-  bool isStanding = aNow - oldest->second.m_since >= kStandingQueue;
-  return Take(isStanding ? newest : oldest);
+  Group group = NextGroup();
+  Duration longest = aNow - group.m_oldest->second.m_since;
+  return Take(longest >= kStandingQueue ? group.m_newest : group.m_oldest);
 }
 
 std::vector<WaitingOpening>
--- a/packages/flow/WaitingOpenings.h
+++ b/packages/flow/WaitingOpenings.h
@@ -16,16 +16,19 @@
 {
   PacketHeader m_header;
   uint32_t m_balancerIp = 0;
+  /** Priority of its route; 0 is the most urgent. */
+  uint8_t m_priority = 0;
   /** The packet as the balancer sent it. */
   absl::InlinedVector<uint8_t, 40> m_bytes;
 };
 
 /**
- * Opening packets beside a full server. First copies go before later ones, in
- * the order of arrival while the queue is short. Once one of them has waited
- * for kStandingQueue, more callers come than the server can answer, and those
- * that have just begun to wait go first. A caller has one packet here at the
- * most, its newest copy.
+ * Opening packets beside a full server. First copies go before later ones, and
+ * among these the most urgent; equal ones go in the order of arrival while the
+ * queue is short. Once one of them has waited for kStandingQueue, more callers
+ * come than the server can answer, and those that have just begun to wait go
+ * first. Less urgent callers get a share of their own. A caller has one packet
+ * here at the most, its newest copy.
  */
 class WaitingOpenings
 {
@@ -53,12 +56,16 @@
   static constexpr size_t kMaxOpenings = 256;
   /** Wait of a first copy that shows a lasting excess of callers. */
   static constexpr Duration kStandingQueue = Milliseconds(40);
+  /** Packets that go before less urgent ones with the same copy number until
+   * one of those has its turn. */
+  static constexpr uint32_t kUrgentInRow = 4;
 
 private:
   /** Smaller ranks are worth more when there are too many callers. */
   struct Rank
   {
     uint32_t m_copyNumber = 0;
+    uint8_t m_priority = 0;
     /** Falls with each packet. */
     uint64_t m_recency = 0;
 
@@ -73,12 +80,24 @@
 
   using Entries = absl::btree_map<Rank, Entry>;
 
+  /** Entries with the same copy number and priority. */
+  struct Group
+  {
+    Entries::iterator m_newest;
+    Entries::iterator m_oldest;
+  };
+
+  Group GroupAt(Entries::iterator aNewest);
+  /** The group whose turn it is; there has to be one. */
+  Group NextGroup();
   WaitingOpening Take(Entries::iterator aEntry);
 
   Entries m_openings;
   absl::flat_hash_map<FlowKey, Rank> m_ranks;
   uint64_t m_nextRecency = UINT64_MAX;
   size_t m_firstCopies = 0;
+  /** Packets that went before less urgent ones since those had their turn. */
+  uint32_t m_urgentInRow = 0;
 };
 
 } // namespace bilberryfield
--- a/test/correctness/BehindBalancers.cpp
+++ b/test/correctness/BehindBalancers.cpp
@@ -29,7 +29,8 @@
     PacketHeader opening = OpeningPacket();
     const auto* steps = &m_balancer.OnCallerPacket(m_now, opening, {});
     int count = 1;
-    while (steps->front().m_mark != kAnyQueue) {
+    while (OpeningTerms::Unpack(steps->front().m_mark).m_busyLimit !=
+           kAnyQueue) {
       steps =
         &m_balancer.OnHandedBack(m_now, opening, {}, kAgent, HandBack::Full);
       count += 1;
--- a/test/correctness/WaitingCallers.cpp
+++ b/test/correctness/WaitingCallers.cpp
@@ -14,9 +14,10 @@
 const TimePoint kStart{ Seconds(100) };
 
 WaitingOpening
-OpeningOf(uint16_t aCaller, uint32_t aCopy = 0)
+OpeningOf(uint16_t aCaller, uint32_t aCopy = 0, uint8_t aPriority = 0)
 {
   WaitingOpening opening;
+  opening.m_priority = aPriority;
   opening.m_header.m_source = { 0x64400001, aCaller };
   opening.m_header.m_destination = kDesk;
   opening.m_header.m_flags = kSyn;
@@ -62,6 +63,31 @@
   cr_assert_eq(CallerOf(waiting.TakeNext(kStart)), 1);
 }
 
+Test(WaitingCallers, WithUrgentRequestsGoBeforeOthers)
+{
+  WaitingOpenings waiting;
+  waiting.Add(kStart, OpeningOf(1, 0, 2));
+  waiting.Add(kStart, OpeningOf(2, 1, 1));
+  waiting.Add(kStart, OpeningOf(3, 0, 1));
+  cr_assert_eq(CallerOf(waiting.TakeNext(kStart)), 3);
+  cr_assert_eq(CallerOf(waiting.TakeNext(kStart)), 1);
+  cr_assert_eq(CallerOf(waiting.TakeNext(kStart)), 2);
+}
+
+Test(WaitingCallers, WithLessUrgentRequestsAreNotStarved)
+{
+  WaitingOpenings waiting;
+  waiting.Add(kStart, OpeningOf(1, 0, 2));
+  for (uint16_t i = 2; i < 10; ++i) {
+    waiting.Add(kStart, OpeningOf(i, 0, 1));
+  }
+  std::vector<uint16_t> served;
+  for (uint32_t i = 0; i <= WaitingOpenings::kUrgentInRow; ++i) {
+    served.push_back(CallerOf(waiting.TakeNext(kStart)));
+  }
+  cr_assert_eq(served.back(), 1);
+}
+
 Test(WaitingCallers, HaveOnePacketEach)
 {
   WaitingOpenings waiting;
