--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -11,10 +11,6 @@
 constexpr uint8_t kTriesWithLimit = 5;
 /** As kTriesWithLimit, at a balancer that cannot keep up. */
 constexpr uint8_t kTriesWhenBehind = 2;
-/** Hand-backs after which a copy of an opening packet waits. */
-constexpr uint8_t kTriesOfCopies = 2;
-/** Number of the last copy that a caller sends. */
-constexpr uint32_t kLastCopy = 2;
 /** Time between two ticks from which on a balancer counts as behind. */
 constexpr Duration kLateTick = Milliseconds(60);
 /** Time for which it then counts as behind. */
@@ -148,7 +144,7 @@
     opened.m_tried[opened.m_tryCount++] = agent->m_entry.m_packets.m_ip;
   }
   m_flows.Insert(key, opened);
-  PlaceOpening(aNow, aHeader, aBytes, *route, false);
+  PlaceOpening(aNow, aHeader, *route, false);
   return m_steps;
 }
 
@@ -164,7 +160,6 @@
 void
 FlowBalancer::PlaceOpening(TimePoint aNow,
                            const PacketHeader& aHeader,
-                           PacketBytes aBytes,
                            const Route& aRoute,
                            bool aIsAgain)
 {
@@ -183,9 +178,6 @@
     return RefuseOpening(aNow, aHeader, service);
   }
   const PlacementCandidate& chosen = candidates[choice->m_index];
-  if (HasToWait(aHeader, chosen, *flow)) {
-    return LetWait(aNow, aHeader, aBytes);
-  }
   const KnownAgent& agent = *m_agents.Find(chosen.m_agentIp);
   flow->m_agentIp = chosen.m_agentIp;
   flow->m_placedAt = aNow;
@@ -201,74 +193,6 @@
   step.m_mark = TermsOf(aRoute, limit).Pack();
 }
 
-// While every server is full, callers that have just come go before those that
-// have waited: the former can still be answered in time, the latter cannot, and
-// in the order of arrival everyone would be late until the load falls.
-bool
-FlowBalancer::HasToWait(const PacketHeader& aHeader,
-                        const PlacementCandidate& aChosen,
-                        const Flow& aFlow)
-{
-  bool isFull = aChosen.m_busy >= aChosen.m_slots;
-  return aHeader.CopyNumber() > 0 &&
-         (isFull || aFlow.m_tryCount >= kTriesOfCopies);
-}
-
-// Only the last copy is kept: after the others the caller sends one more.
-void
-FlowBalancer::LetWait(TimePoint aNow,
-                      const PacketHeader& aHeader,
-                      PacketBytes aBytes)
-{
-  FlowKey key = aHeader.FlowFromCaller();
-  Add(FlowBalancerAction::Drop, FlowReason::Full, key);
-  if (aHeader.CopyNumber() < kLastCopy) {
-    m_flows.Erase(key);
-    return;
-  }
-  Flow* flow = m_flows.Find(key);
-  flow->m_agentIp = 0;
-  flow->m_tryCount = 0;
-  flow->m_giveUpAt = flow->m_giveUpAt.value_or(aNow + LateOpenings::kWait);
-  m_lateOpenings.Add(
-    { aHeader, { aBytes.begin(), aBytes.end() }, *flow->m_giveUpAt });
-}
-
-void
-FlowBalancer::ServeLateOpenings(TimePoint aNow)
-{
-  for (const LateOpening& late : m_lateOpenings.TakeExpired(aNow)) {
-    FlowKey key = late.m_header.FlowFromCaller();
-    m_flows.Erase(key);
-    Add(FlowBalancerAction::Reset, FlowReason::Full, key, late.m_header.m_ack);
-  }
-  // The first one that finds no free slot ends the series.
-  size_t before = m_lateOpenings.Size();
-  for (size_t i = 0; i < before; ++i) {
-    LateOpening late = m_lateOpenings.TakeNewest();
-    FlowKey key = late.m_header.FlowFromCaller();
-    const Route* route = m_routes->Find(key.m_service);
-    const Flow* flow = m_flows.Find(key);
-    bool isStillWaiting = flow && flow->m_agentIp == 0;
-    if (!isStillWaiting) {
-      continue;
-    }
-    if (!route) {
-      m_flows.Erase(key);
-      Add(FlowBalancerAction::Reset,
-          FlowReason::NoRoute,
-          key,
-          late.m_header.m_ack);
-      continue;
-    }
-    PlaceOpening(aNow, late.m_header, late.m_bytes, *route, true);
-    if (m_steps.back().m_action != FlowBalancerAction::Forward) {
-      return;
-    }
-    m_steps.back().m_held = std::move(late.m_bytes);
-  }
-}
-
 // A hand-back costs the balancer as much as the placement did. One that cannot
 // keep up lets a flow wait at its server sooner: the wait is shorter than what
 // the balancer's own queue would add for everyone.
@@ -341,7 +265,7 @@
     return m_steps;
   }
   flow->m_tried[flow->m_tryCount++] = aAgentIp;
-  PlaceOpening(aNow, aHeader, aBytes, *route, true);
+  PlaceOpening(aNow, aHeader, *route, true);
   return m_steps;
 }
 
@@ -511,9 +435,6 @@
     m_nextPeriod = aNow + m_routes->m_flowIdleLimit;
     m_flows.EndPeriod();
   }
-  if (m_lateOpenings.Size() > 0) {
-    ServeLateOpenings(aNow);
-  }
   for (SearchStep& step : m_searches.OnTick(aNow)) {
     Follow(aNow, std::move(step));
   }
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -3,7 +3,6 @@
 #include "AgentList.h"
 #include "FlowSearches.h"
 #include "GenerationMap.h"
-#include "LateOpenings.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "RouteTable.h"
@@ -43,11 +42,10 @@
   Unowned,      /**< No agent has the flow. */
   TooManyHeld,  /**< Too many packets wait for answers. */
   Searched,     /**< Agents are asked for the flow. */
-  Full,         /**< Free slots are left to callers that have just come. */
   Count,
 };
 
-inline constexpr NameTable<FlowReason, 13> kFlowReasonNames = { {
+inline constexpr NameTable<FlowReason, 12> kFlowReasonNames = { {
   { FlowReason::Known, "known" },
   { FlowReason::Placed, "placed" },
   { FlowReason::PlacedAgain, "placed-again" },
@@ -60,7 +58,6 @@
   { FlowReason::Unowned, "unowned" },
   { FlowReason::TooManyHeld, "too-many-held" },
   { FlowReason::Searched, "searched" },
-  { FlowReason::Full, "full" },
 } };
 
 /** One step that follows from a decision. */
@@ -152,8 +149,6 @@
     uint32_t m_openSeq = 0;
     TimePoint m_placedAt;
     bool m_sawOpening = false;
-    /** When a late opening packet is given up; nothing before it waits. */
-    std::optional<TimePoint> m_giveUpAt;
     uint8_t m_tryCount = 0;
     std::array<uint32_t, kMaxTries> m_tried{};
   };
@@ -164,16 +159,8 @@
   static Flow Opened(uint32_t aSeq);
   void PlaceOpening(TimePoint aNow,
                     const PacketHeader& aHeader,
-                    PacketBytes aBytes,
                     const Route& aRoute,
                     bool aIsAgain);
-  /** True when a caller that has waited has to wait for a free slot. */
-  static bool HasToWait(const PacketHeader& aHeader,
-                        const PlacementCandidate& aChosen,
-                        const Flow& aFlow);
-  void LetWait(TimePoint aNow, const PacketHeader& aHeader, PacketBytes aBytes);
-  /** Places late openings in free slots and gives up expired ones. */
-  void ServeLateOpenings(TimePoint aNow);
   /** Busy flows at a server up to which it may take a new flow. */
   uint32_t BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const;
   /** Ends a new flow that no server can take. */
@@ -209,7 +196,6 @@
   absl::flat_hash_map<Endpoint, std::set<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
   FlowSearches m_searches;
-  LateOpenings m_lateOpenings;
   LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
