--- /dev/null
+++ b/test/FullServer.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "FlowAgent.h"
+#include "FlowSamples.h"
+
+namespace bilberryfield {
+
+/**
+ * An agent of "desk" whose server has as many flows as it may get: those of
+ * callers 1 to slots + 1. Callers are named by their port.
+ */
+class FullServer
+{
+public:
+  /** The balancer that all packets come from. */
+  static constexpr uint32_t kBalancer = 7;
+
+  explicit FullServer(uint32_t aSlots)
+    : m_slots(aSlots)
+    , m_agent(Options(), m_now)
+  {
+    Heartbeat(false);
+    for (uint16_t caller = 1; caller <= Flows(); ++caller) {
+      Open(caller, 0);
+    }
+  }
+
+  /** The server says whether it drains. */
+  void Heartbeat(bool aIsDraining)
+  {
+    m_agent.OnHeartbeat(
+      m_now, { "s", 1, ++m_sequence, "desk", {}, m_slots, aIsDraining, {} });
+  }
+
+  /** What becomes of a caller's opening packet. */
+  FlowAgentAction Open(uint16_t aCaller,
+                       uint32_t aCopy,
+                       PacketBytes aBytes = {})
+  {
+    PacketHeader opening = PacketOf(aCaller);
+    opening.m_flags = kSyn;
+    opening.m_ack = aCopy;
+    opening.m_mark = OpeningTerms{}.Pack();
+    return m_agent.OnBalancerPacket(m_now, opening, aBytes, kBalancer).m_action;
+  }
+
+  /** The server ends the flow of a caller. */
+  void End(uint16_t aCaller)
+  {
+    PacketHeader end = PacketOf(aCaller);
+    std::swap(end.m_source, end.m_destination);
+    end.m_flags = kFin;
+    m_agent.OnServerPacket(m_now, end);
+  }
+
+  /** Lets time pass in which the flows at the server go on; what ends then. */
+  std::vector<WaitEnd> Pass(Duration aTime)
+  {
+    std::vector<WaitEnd> all;
+    for (TimePoint end = m_now + aTime; m_now < end;) {
+      m_now += FlowAgent::kTick;
+      Heartbeat(false);
+      for (uint16_t caller = 1; caller <= Flows(); ++caller) {
+        Request(caller);
+      }
+      m_agent.OnTick(m_now);
+      std::vector<WaitEnd> ends = TakeWaitEnds();
+      all.insert(all.end(), ends.begin(), ends.end());
+    }
+    return all;
+  }
+
+  std::vector<WaitEnd> TakeWaitEnds() { return m_agent.TakeWaitEnds(m_now); }
+
+  FlowAgent& Agent() { return m_agent; }
+
+private:
+  static FlowAgentOptions Options()
+  {
+    FlowAgentOptions options;
+    options.m_service = "desk";
+    return options;
+  }
+
+  static PacketHeader PacketOf(uint16_t aCaller)
+  {
+    PacketHeader header;
+    header.m_source = { 0x64400001, aCaller };
+    header.m_destination = kDesk;
+    header.m_tag = ServiceTag("desk");
+    return header;
+  }
+
+  uint16_t Flows() const { return static_cast<uint16_t>(m_slots + 1); }
+
+  void Request(uint16_t aCaller)
+  {
+    PacketHeader request = PacketOf(aCaller);
+    request.m_flags = kAck;
+    request.m_length = 100;
+    m_agent.OnBalancerPacket(m_now, request, {}, kBalancer);
+  }
+
+  TimePoint m_now{ Seconds(100) };
+  uint32_t m_slots;
+  uint64_t m_sequence = 0;
+  FlowAgent m_agent;
+};
+
+} // namespace bilberryfield
--- a/test/correctness/WaitingCallers.cpp
+++ b/test/correctness/WaitingCallers.cpp
@@ -1,9 +1,7 @@
 // More callers come than the servers can answer: what waits beside a server,
 // in which order it is served, and what those who wait are told.
 
-#include "FlowAgent.h"
-#include "FlowSamples.h"
-#include "WaitingOpenings.h"
+#include "FullServer.h"
 
 #include <criterion/criterion.h>
 
@@ -120,113 +118,64 @@
 
 namespace {
 
-/** An agent whose server has two slots and as many flows as it may get. */
-struct FullServer
-{
-  FullServer()
-  {
-    m_agent.OnHeartbeat(kStart, { "s", 1, 1, "desk", {}, 2, false, {} });
-    for (uint16_t caller = 1; caller <= 3; ++caller) {
-      cr_assert(Open(kStart, caller).m_action == FlowAgentAction::Deliver);
-    }
-  }
-
-  AgentVerdict Open(TimePoint aNow, uint16_t aCaller, uint32_t aCopy = 0)
-  {
-    PacketHeader header = OpeningOf(aCaller, aCopy).m_header;
-    header.m_tag = ServiceTag("desk");
-    header.m_mark = kAnyQueue;
-    return m_agent.OnBalancerPacket(aNow, header, {}, 7);
-  }
-
-  void Request(TimePoint aNow, uint16_t aCaller)
-  {
-    PacketHeader header = OpeningOf(aCaller).m_header;
-    header.m_tag = ServiceTag("desk");
-    header.m_flags = kAck;
-    header.m_length = 100;
-    m_agent.OnBalancerPacket(aNow, header, {}, 7);
-    m_agent.OnHeartbeat(aNow,
-                        { "s", 1, ++m_sequence, "desk", {}, 2, false, {} });
-  }
-
-  void End(TimePoint aNow, uint16_t aCaller)
-  {
-    PacketHeader header;
-    header.m_source = kDesk;
-    header.m_destination = { 0x64400001, aCaller };
-    header.m_flags = kFin;
-    m_agent.OnServerPacket(aNow, header);
-  }
-
-  static FlowAgentOptions Options()
-  {
-    FlowAgentOptions options;
-    options.m_service = "desk";
-    return options;
-  }
-
-  FlowAgent m_agent{ Options(), kStart };
-  uint64_t m_sequence = 1;
-};
+constexpr uint32_t kSlots = 2;
+constexpr uint16_t kWaiting = 10;
 
 } // namespace
 
 Test(WaitingCallers, ReachTheServerAsSoonAsAFlowEnds)
 {
-  FullServer server;
-  cr_assert(server.Open(kStart, 4).m_action == FlowAgentAction::Wait);
-  cr_assert(server.m_agent.TakeWaitEnds(kStart).empty());
-  cr_assert_eq(server.m_agent.Load().m_busy, 4);
-  server.End(kStart + Milliseconds(5), 1);
-  std::vector<WaitEnd> ends =
-    server.m_agent.TakeWaitEnds(kStart + Milliseconds(5));
+  FullServer server(kSlots);
+  cr_assert_eq(server.Agent().BusyFlows(), kSlots + 1);
+  cr_assert(server.Open(kWaiting, 0) == FlowAgentAction::Wait);
+  cr_assert(server.TakeWaitEnds().empty());
+  cr_assert_eq(server.Agent().Load().m_busy, kSlots + 2);
+  server.End(1);
+  std::vector<WaitEnd> ends = server.TakeWaitEnds();
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_verdict.m_action == FlowAgentAction::Deliver);
-  cr_assert_eq(ends[0].m_opening.m_balancerIp, 7);
-  cr_assert_eq(server.m_agent.WaitingCount(), 0);
+  cr_assert_eq(ends[0].m_opening.m_balancerIp, FullServer::kBalancer);
+  cr_assert_eq(server.Agent().WaitingCount(), 0);
+}
+
+Test(WaitingCallers, ThatSentCopiesAreNoLoadForNewOnes)
+{
+  FullServer server(kSlots);
+  server.Open(kWaiting, 1);
+  cr_assert_eq(server.Agent().Load().m_busy, kSlots + 1);
 }
 
 Test(WaitingCallers, AreHandedBackWhenTheServerDrains)
 {
-  FullServer server;
-  server.Open(kStart, 4);
-  server.m_agent.OnHeartbeat(kStart, { "s", 1, 2, "desk", {}, 2, true, {} });
-  std::vector<WaitEnd> ends = server.m_agent.TakeWaitEnds(kStart);
+  FullServer server(kSlots);
+  server.Open(kWaiting, 0);
+  server.Heartbeat(true);
+  std::vector<WaitEnd> ends = server.TakeWaitEnds();
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_verdict.m_action == FlowAgentAction::HandBack);
   cr_assert(ends[0].m_verdict.m_reason == HandBack::NotAccepting);
-  cr_assert_eq(ends[0].m_verdict.m_balancerIp, 7);
+  cr_assert_eq(ends[0].m_verdict.m_balancerIp, FullServer::kBalancer);
 }
 
 Test(WaitingCallers, AreHandedBackWhenTheAgentStops)
 {
-  FullServer server;
-  server.Open(kStart, 4);
-  server.m_agent.BeginShutdown();
-  cr_assert_eq(server.m_agent.TakeWaitEnds(kStart).size(), 1);
-  cr_assert_eq(server.m_agent.WaitingCount(), 0);
+  FullServer server(kSlots);
+  server.Open(kWaiting, 0);
+  server.Agent().BeginShutdown();
+  cr_assert_eq(server.TakeWaitEnds().size(), 1);
+  cr_assert_eq(server.Agent().WaitingCount(), 0);
 }
 
 // A caller is told only when no copy of it comes any more.
 Test(WaitingCallers, AreToldAtTheEndOfTheirAttempt)
 {
-  FullServer server;
-  server.Open(kStart, 4, 1);
-  server.Open(kStart, 5, 2);
-  std::vector<FlowAgentAction> told;
-  for (Duration passed{ 0 }; passed < Seconds(1); passed += FlowAgent::kTick) {
-    // The flows at the server go on.
-    for (uint16_t caller = 1; caller <= 3; ++caller) {
-      server.Request(kStart + passed, caller);
-    }
-    server.m_agent.OnTick(kStart + passed);
-    for (const WaitEnd& end : server.m_agent.TakeWaitEnds(kStart + passed)) {
-      told.push_back(end.m_verdict.m_action);
-      cr_assert(end.m_verdict.m_reason == HandBack::Full);
-    }
-  }
-  cr_assert_eq(told.size(), 2);
-  cr_assert(told[0] == FlowAgentAction::Drop);
-  cr_assert(told[1] == FlowAgentAction::Reset);
+  FullServer server(kSlots);
+  server.Open(kWaiting, 1);
+  server.Open(kWaiting + 1, 2);
+  std::vector<WaitEnd> ends = server.Pass(Seconds(1));
+  cr_assert_eq(ends.size(), 2);
+  cr_assert(ends[0].m_verdict.m_action == FlowAgentAction::Drop);
+  cr_assert(ends[1].m_verdict.m_action == FlowAgentAction::Reset);
+  cr_assert(ends[0].m_verdict.m_reason == HandBack::Full);
+  cr_assert(ends[1].m_verdict.m_reason == HandBack::Full);
 }
