Open more flows ahead at servers whose balancers are slow

Thin balancers delay the requests of flows that hold one of slots + 1 places, so that slots stand idle just when all callers are back, and callers who wait send copies, which cost the balancers more. Change: ServerRoom bounds the flows at a server by slots + 1 and, by Little's law, those on their way for a measured round trip, four a slot at the most. The field copy is logged for opening packets only.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -19,9 +19,6 @@
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
 /** Flows that are remembered as not being at the server. */
 constexpr size_t kMaxDenied = 10'000;
-/** Flows beyond its slots that a server gets: their requests arrive when a slot
- * is about to be free. */
-constexpr uint32_t kFlowsAhead = 1;
 /** Number of the last copy that a caller sends. */
 constexpr uint32_t kLastCopy = 2;
 /** Weight of a new sample in the mean answer time. */
@@ -134,6 +131,7 @@
     verdict.m_isLast = flow->m_phase != Phase::Closed;
     SetPhase(aNow, key, *flow, Phase::Closed);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
+    NoteRequest(aNow, *flow);
     SetPhase(aNow, key, *flow, Phase::Requested);
   }
   return verdict;
@@ -182,7 +180,7 @@
 bool
 FlowAgent::HasRoom() const
 {
-  return m_busy < Slots() + kFlowsAhead;
+  return m_busy < m_room.MaxFlows(Slots());
 }
 
 void
@@ -263,7 +261,7 @@
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server holds the flow from before this agent's start.
-    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {} });
+    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {} });
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
@@ -271,7 +269,7 @@
   }
   AgentVerdict verdict{ FlowAgentAction::ToCaller };
   if (aHeader.m_length > 0 && IsBusy(flow->m_phase)) {
-    NoteAnswerTime(aNow - flow->m_busySince);
+    NoteAnswer(aNow, *flow);
   }
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     verdict.m_isLast = flow->m_phase != Phase::Closed;
@@ -308,13 +306,28 @@
 }
 
 void
-FlowAgent::NoteAnswerTime(Duration aTime)
+FlowAgent::NoteRequest(TimePoint aNow, Flow& aFlow)
 {
-  m_answerTimes.Add(aTime);
-  auto sample = static_cast<double>(aTime.count());
+  if (aFlow.m_phase == Phase::Opening) {
+    m_room.OnRequest(aNow - aFlow.m_busySince);
+  }
+  if (aFlow.m_phase != Phase::Requested) {
+    aFlow.m_requestedAt = aNow;
+  }
+}
+
+void
+FlowAgent::NoteAnswer(TimePoint aNow, const Flow& aFlow)
+{
+  Duration time = aNow - aFlow.m_busySince;
+  m_answerTimes.Add(time);
+  auto sample = static_cast<double>(time.count());
   m_answerUs = m_answerUs == 0
                  ? sample
                  : m_answerUs + kAnswerTimeGain * (sample - m_answerUs);
+  if (aFlow.m_phase == Phase::Requested) {
+    m_room.OnAnswer(aNow - aFlow.m_requestedAt);
+  }
 }
 
 AgentVerdict
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -4,6 +4,7 @@
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "ReportSchedule.h"
+#include "ServerRoom.h"
 #include "ServerTracker.h"
 #include "WaitingOpenings.h"
 
@@ -147,6 +148,7 @@
     bool m_hasServerSeq = false;
     uint32_t m_serverSeq = 0;
     TimePoint m_busySince;
+    TimePoint m_requestedAt;
   };
 
   struct BusyEntry
@@ -166,7 +168,8 @@
                          const PacketHeader& aHeader,
                          PacketBytes aBytes,
                          uint32_t aBalancerIp);
-  void NoteAnswerTime(Duration aTime);
+  void NoteRequest(TimePoint aNow, Flow& aFlow);
+  void NoteAnswer(TimePoint aNow, const Flow& aFlow);
   AgentVerdict OnBounced(const PacketHeader& aHeader);
   AgentVerdict GiveBack(HandBack aReason, uint32_t aBalancerIp);
   bool MayMissFlows(TimePoint aNow) const;
@@ -211,6 +214,7 @@
   std::deque<BusyEntry> m_unconfirmed;
   std::deque<OpeningEntry> m_openings;
   WaitingOpenings m_waiting;
+  ServerRoom m_room;
   /** Ends of waits that have not been taken yet. */
   std::vector<WaitEnd> m_waitEnds;
   ReportSchedule m_reports;
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -192,14 +192,17 @@
     return;
   }
   Log(LogLevel::Info, event, [&] {
-    return nlohmann::json{ { "flow", ToText(aHeader.FlowFromCaller()) },
-                           { "balancer", IpToText(aBalancerIp) },
-                           { "reason",
-                             NameOf(kHandBackNames, aVerdict.m_reason) },
-                           { "busy", m_core.BusyFlows() },
-                           { "copy", aHeader.CopyNumber() },
-                           { "waiting", m_core.WaitingCount() },
-                           { "slots", m_core.Load().m_slots } };
+    nlohmann::json fields = { { "flow", ToText(aHeader.FlowFromCaller()) },
+                              { "balancer", IpToText(aBalancerIp) },
+                              { "reason",
+                                NameOf(kHandBackNames, aVerdict.m_reason) },
+                              { "busy", m_core.BusyFlows() },
+                              { "waiting", m_core.WaitingCount() },
+                              { "slots", m_core.Load().m_slots } };
+    if (aHeader.IsOpening()) {
+      fields["copy"] = aHeader.CopyNumber();
+    }
+    return fields;
   });
 }
 
