Log and count the store's era and revision where an answer decides

The logs could not tell whether a watch was resumed across a restoration: the revision was known, the history that it belongs to was not. Logged: routes-in-force and agents-listed with era and revision, store-listing with its reason, store-era-changed with the kept and the answered position. Metrics: the era, the position of each watch, resumed watches, listings per reason.

No logic changed: revisions are still compared as before.

--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -228,6 +228,7 @@
   text.Add("bilberry_send_failures_total",
            m_packetSocket->SendFailures() + m_serverSocket->SendFailures() +
              m_control.SendFailures());
+  text.Add("bilberry_store_era", m_store.Era());
   text.Add("bilberry_journal_pending", m_journal.PendingCount());
   text.Add("bilberry_journal_lost_total", m_journal.LostCount());
   text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -22,6 +22,23 @@
 constexpr Duration kCallerIdleTime = Milliseconds(500);
 constexpr Duration kShutdownPollInterval = Milliseconds(100);
 
+void
+AddWatcherMetrics(MetricsText& aText,
+                  const std::string& aKind,
+                  const StoreWatcher& aWatcher)
+{
+  std::string kind = "kind=\"" + aKind + '"';
+  StorePosition position = aWatcher.Position();
+  aText.Add("bilberry_watch_era", position.m_era, kind);
+  aText.Add("bilberry_watch_revision", position.m_revision, kind);
+  aText.Add("bilberry_watches_resumed_total", aWatcher.ResumeCount(), kind);
+  for (const auto& row : kListReasonNames) {
+    std::string labels = kind + ",reason=\"" + std::string(row.m_name) + '"';
+    aText.Add(
+      "bilberry_listings_total", aWatcher.ListCount(row.m_value), labels);
+  }
+}
+
 } // namespace
 
 BalancerDaemon::BalancerDaemon(const FlowSettings& aSettings)
@@ -37,7 +54,9 @@
       m_loop,
       m_store,
       kConfigKind,
-      [this](const auto& aObjects, uint64_t) { OnConfigObjects(aObjects); },
+      [this](const auto& aObjects, const StorePosition&) {
+        OnConfigObjects(aObjects);
+      },
       [this] {
         std::uniform_real_distribution<double> draw(0, 1);
         return ConfigWatchTimeout(m_core.Agents().All().size(), draw(m_random));
@@ -46,8 +65,8 @@
       m_loop,
       m_store,
       kAgentKind,
-      [this](const auto& aObjects, uint64_t aRevision) {
-        OnAgentObjects(aObjects, aRevision);
+      [this](const auto& aObjects, const StorePosition& aPosition) {
+        OnAgentObjects(aObjects, aPosition);
       },
       [] { return kMaxWatchTimeout; })
   , m_peerSync(m_loop,
@@ -131,13 +150,15 @@
 {
   auto found = aObjects.find(kConfigName);
   if (found != aObjects.end()) {
-    OnConfiguration(found->second.m_content, "store");
+    const StoreObject& object = found->second;
+    OnConfiguration(object.m_content, "store", object.m_position);
   }
 }
 
 void
 BalancerDaemon::OnConfiguration(const std::string& aContent,
-                                const char* aSource)
+                                const char* aSource,
+                                const StorePosition& aPosition)
 {
   Result<OperatorConfig> config = DecodeOperatorConfig(aContent);
   if (!config) {
@@ -161,6 +182,8 @@
       { { "version", version },
         { "routes", count },
         { "source", aSource },
+        { "era", aPosition.m_era },
+        { "revision", aPosition.m_revision },
         { "in_force", m_core.RoutesVersion() } });
 }
 
@@ -168,7 +191,7 @@
 BalancerDaemon::OnSnapshot(const PeerSnapshot& aSnapshot)
 {
   if (!aSnapshot.m_configuration.empty()) {
-    OnConfiguration(aSnapshot.m_configuration, "peer");
+    OnConfiguration(aSnapshot.m_configuration, "peer", {});
   }
   if (aSnapshot.m_agentsRevision > 0) {
     m_core.Agents().SetListed(
@@ -254,7 +277,7 @@
 
 void
 BalancerDaemon::OnAgentObjects(const StoreWatcher::Objects& aObjects,
-                               uint64_t aRevision)
+                               const StorePosition& aPosition)
 {
   std::vector<AgentEntry> entries;
   for (const auto& [name, object] : aObjects) {
@@ -267,10 +290,14 @@
           { { "name", name }, { "detail", entry.error().m_detail } });
     }
   }
-  m_core.Agents().SetListed(EventLoop::Now(), aRevision, entries);
+  uint64_t revision = aPosition.m_revision;
+  m_core.Agents().SetListed(EventLoop::Now(), revision, entries);
   Log(LogLevel::Info,
       "agents-listed",
-      { { "agents", entries.size() }, { "revision", aRevision } });
+      { { "agents", entries.size() },
+        { "era", aPosition.m_era },
+        { "revision", revision },
+        { "in_force", m_core.Agents().Revision() } });
   SubscribeToAgents();
 }
 
@@ -433,6 +460,9 @@
   text.Add("bilberry_routes_version", m_core.RoutesVersion());
   text.Add("bilberry_agents", m_core.Agents().All().size());
   text.Add("bilberry_agents_revision", m_core.Agents().Revision());
+  text.Add("bilberry_store_era", m_store.Era());
+  AddWatcherMetrics(text, kConfigKind, m_configWatcher);
+  AddWatcherMetrics(text, kAgentKind, m_agentsWatcher);
   text.Add("bilberry_ready", m_isReady ? 1 : 0);
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
   text.Add("bilberry_openings_left_out_total", m_synBacklog.DiscardedCount());
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -35,14 +35,16 @@
   void OnReturnedPacket(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnControlMessage(const FlowMessage& aMessage, uint32_t aFromIp);
   void OnConfigObjects(const StoreWatcher::Objects& aObjects);
-  void OnConfiguration(const std::string& aContent, const char* aSource);
+  void OnConfiguration(const std::string& aContent,
+                       const char* aSource,
+                       const StorePosition& aPosition);
   void OnSnapshot(const PeerSnapshot& aSnapshot);
   AdminAnswer Status() const;
   AdminAnswer Snapshot(const HttpIncoming& aRequest) const;
   LocalVersions CurrentVersions() const;
   void FetchFromPeersIfBehind();
   void OnAgentObjects(const StoreWatcher::Objects& aObjects,
-                      uint64_t aRevision);
+                      const StorePosition& aPosition);
   void Execute(const std::vector<BalancerStep>& aSteps,
                std::span<uint8_t> aBytes);
   void ForwardPacket(const BalancerStep& aStep, std::span<uint8_t> aBytes);
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -39,6 +39,19 @@
 {
 }
 
+void
+StoreWatcher::ListAnew(ListReason aReason)
+{
+  m_listCounts[static_cast<size_t>(aReason)] += 1;
+  Log(LogLevel::Info,
+      "store-listing",
+      { { "kind", m_kind },
+        { "reason", NameOf(kListReasonNames, aReason) },
+        { "era", m_position.m_era },
+        { "revision", m_position.m_revision } });
+  List();
+}
+
 void
 StoreWatcher::List()
 {
@@ -47,8 +60,8 @@
       OnListed(std::move(listing));
     });
   };
-  bool usesShortTimeout =
-    m_revision == 0 && (m_consecutiveFailures + 1) % kFullTimeoutEvery != 0;
+  bool usesShortTimeout = !m_position.IsKnown() &&
+                          (m_consecutiveFailures + 1) % kFullTimeoutEvery != 0;
   m_store.List(m_kind,
                onListed,
                usesShortTimeout ? kFirstListTimeout
@@ -63,12 +76,12 @@
   }
   OnSuccess();
   m_objects.clear();
-  m_revision = aListing->m_revision;
+  m_position = aListing->m_position;
   for (StoreObject& object : aListing->m_objects) {
     std::string name = object.m_name;
     m_objects[name] = std::move(object);
   }
-  m_onChange(m_objects, m_revision);
+  m_onChange(m_objects, m_position);
   Watch();
 }
 
@@ -76,7 +89,7 @@
 StoreWatcher::Watch()
 {
   m_store.Watch(m_kind,
-                m_revision,
+                m_position.m_revision,
                 m_watchTimeout(),
                 [this](Result<StoreChanges> aChanges) {
                   m_loop.Post([this, changes = std::move(aChanges)]() mutable {
@@ -93,12 +106,11 @@
   }
   OnSuccess();
   if (aChanges->m_isHistoryGone) {
-    Log(LogLevel::Info,
-        "store-history-gone",
-        { { "kind", m_kind }, { "revision", m_revision } });
-    return List();
+    return ListAnew(ListReason::HistoryGone);
   }
-  m_revision = std::max(m_revision, aChanges->m_revision);
+  LogEraChange(aChanges->m_position);
+  m_position.m_revision =
+    std::max(m_position.m_revision, aChanges->m_position.m_revision);
   for (StoreChange& change : aChanges->m_changes) {
     std::string name = change.m_object.m_name;
     if (change.m_isRemoved) {
@@ -110,7 +122,7 @@
   if (aChanges->m_changes.empty()) {
     return Watch();
   }
-  m_onChange(m_objects, m_revision);
+  m_onChange(m_objects, m_position);
   ScheduleNextWatch();
 }
 
@@ -126,6 +138,21 @@
   });
 }
 
+void
+StoreWatcher::LogEraChange(const StorePosition& aAnswered) const
+{
+  if (aAnswered.m_era == m_position.m_era) {
+    return;
+  }
+  Log(LogLevel::Warning,
+      "store-era-changed",
+      { { "kind", m_kind },
+        { "era", aAnswered.m_era },
+        { "revision", aAnswered.m_revision },
+        { "kept_era", m_position.m_era },
+        { "kept_revision", m_position.m_revision } });
+}
+
 void
 StoreWatcher::OnSuccess()
 {
@@ -141,14 +168,20 @@
 StoreWatcher::RetryLater(const StepError& aError, void (StoreWatcher::*aNext)())
 {
   m_consecutiveFailures += 1;
+  if (aNext == &StoreWatcher::Watch) {
+    m_resumeCount += 1;
+  }
   if (m_consecutiveFailures == 1) {
     Log(LogLevel::Warning,
         "store-lost",
-        { { "kind", m_kind }, { "detail", aError.m_detail } });
+        { { "kind", m_kind },
+          { "era", m_position.m_era },
+          { "revision", m_position.m_revision },
+          { "detail", aError.m_detail } });
   }
   Duration delay = std::min<Duration>(
     kMinRetryDelay * (1 << std::min(m_consecutiveFailures - 1, kMaxDoublings)),
-    m_revision == 0 ? kMaxRetryDelayUnlisted : kMaxRetryDelay);
+    !m_position.IsKnown() ? kMaxRetryDelayUnlisted : kMaxRetryDelay);
   // Jitter spreads the retries of processes that lost the store at once.
   std::uniform_int_distribution<Duration::rep> jitter(0, delay.count() / 2);
   m_loop.RunAfter(delay + Duration(jitter(m_random)),
--- a/packages/flownode/StoreWatcher.h
+++ b/packages/flownode/StoreWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "EventLoop.h"
+#include "NameTable.h"
 #include "StoreClient.h"
 
 #include <map>
@@ -8,6 +9,19 @@
 
 namespace bilberryfield {
 
+/** Why a watcher lists a kind instead of watching it. */
+enum class ListReason : uint8_t
+{
+  Start,
+  HistoryGone, /**< The store has discarded the changes since the position. */
+  Count,
+};
+
+inline constexpr NameTable<ListReason, 2> kListReasonNames = { {
+  { ListReason::Start, "start" },
+  { ListReason::HistoryGone, "history-gone" },
+} };
+
 /**
  * Keeps a copy of all objects of one kind in the platform's store: lists them
  * once, then watches for changes. Failed calls are retried with backoff until
@@ -19,7 +33,7 @@
   using Objects = std::map<std::string, StoreObject>;
   /** Called on the loop's thread with all objects, after the listing and after
    * each change. */
-  using OnChange = std::function<void(const Objects&, uint64_t aRevision)>;
+  using OnChange = std::function<void(const Objects&, const StorePosition&)>;
 
   /** Returns the maximum time that the next watch waits for a change. */
   using WatchTimeout = std::function<Duration()>;
@@ -31,24 +45,37 @@
                WatchTimeout aWatchTimeout);
 
   /** Starts the first listing. */
-  void Start() { List(); }
+  void Start() { ListAnew(ListReason::Start); }
 
   /** True once a listing has succeeded and while the last call succeeded. */
   bool IsConnected() const
   {
-    return m_consecutiveFailures == 0 && m_revision > 0;
+    return m_consecutiveFailures == 0 && m_position.IsKnown();
   }
 
   /** True while changes are received without a long delay. */
   bool IsCurrent() const { return IsConnected() && !m_isWatchDelayed; }
 
+  /** The position up to which changes were received. */
+  const StorePosition& Position() const { return m_position; }
+
+  /** Number of listings that were begun for a reason. */
+  uint64_t ListCount(ListReason aReason) const
+  {
+    return m_listCounts[static_cast<size_t>(aReason)];
+  }
+  /** Number of watches that were resumed after a failed one. */
+  uint64_t ResumeCount() const { return m_resumeCount; }
+
 private:
+  void ListAnew(ListReason aReason);
   void List();
   void Watch();
   void ScheduleNextWatch();
   void OnListed(Result<StoreListing> aListing);
   void OnChanges(Result<StoreChanges> aChanges);
   void RetryLater(const StepError& aError, void (StoreWatcher::*aNext)());
+  void LogEraChange(const StorePosition& aAnswered) const;
   void OnSuccess();
 
   EventLoop& m_loop;
@@ -57,10 +84,12 @@
   OnChange m_onChange;
   WatchTimeout m_watchTimeout;
   Objects m_objects;
-  uint64_t m_revision = 0;
+  StorePosition m_position;
   uint32_t m_consecutiveFailures = 0;
   /** The next watch waits for longer than the minimum delay. */
   bool m_isWatchDelayed = false;
+  std::array<uint64_t, static_cast<size_t>(ListReason::Count)> m_listCounts{};
+  uint64_t m_resumeCount = 0;
   std::mt19937_64 m_random{ std::random_device{}() };
 };
 
--- a/packages/peer/FieldCodec.h
+++ b/packages/peer/FieldCodec.h
@@ -24,6 +24,15 @@
     m_object[aKey] = Encode(aValue);
   }
 
+  /** Leaves out a field that has its default value. */
+  template<typename Value>
+  void Optional(const char* aKey, const Value& aValue)
+  {
+    if (aValue != Value{}) {
+      m_object[aKey] = Encode(aValue);
+    }
+  }
+
   void Bytes(const char* aKey, const std::string& aBytes)
   {
     m_object[aKey] = nlohmann::json::binary(
@@ -83,6 +92,16 @@
     Decode(m_object.at(aKey), aValue);
   }
 
+  /** Leaves aValue as it is when the field is missing, as it is in messages of
+   * builds that do not know it. */
+  template<typename Value>
+  void Optional(const char* aKey, Value& aValue)
+  {
+    if (m_object.contains(aKey)) {
+      Decode(m_object.at(aKey), aValue);
+    }
+  }
+
   void Bytes(const char* aKey, std::string& aBytes)
   {
     const nlohmann::json::binary_t& binary = m_object.at(aKey).get_binary();
