--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -42,6 +42,12 @@
   /** Has the store do something to itself, for example "lost=2". */
   void DisturbStore(const std::string& aFault);
 
+  /** Keeps a copy of the store's objects, to which RestoreStore goes back. */
+  void CopyStore() { DisturbStore("copy=1"); }
+  /** Has the store come back from its copy in a new era. What the daemons wrote
+   * since is gone; the newest configuration is written again. */
+  void RestoreStore() { DisturbStore("restore=1"); }
+
   /** Programs of the product that ended though nobody ended them. */
   std::vector<std::string> EndedByThemselves();
   /** What a balancer tells of itself; nothing when it does not answer. */
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -1,6 +1,6 @@
 // A stand-in of the platform's store: objects by kind with one revision
-// counter, conditional writes, watches with a bounded history, and faults on
-// request.
+// counter, conditional writes, watches with a bounded history, restorations
+// from a copy, and faults on request.
 
 #include "HttpPaths.h"
 #include "HttpServer.h"
@@ -32,16 +32,23 @@
 };
 
 HttpOutgoing
-Answer(uint16_t aStatus, const json& aBody = nullptr)
+AnswerInEra(uint64_t aEra, uint16_t aStatus, const json& aBody = nullptr)
 {
-  return {
-    aStatus, {}, "application/json", aBody.is_null() ? "" : aBody.dump()
-  };
+  return { aStatus,
+           { { kStoreEraHeader, std::to_string(aEra) } },
+           "application/json",
+           aBody.is_null() ? "" : aBody.dump() };
 }
 
 class Objects
 {
 public:
+  HttpOutgoing Error(uint16_t aStatus)
+  {
+    std::lock_guard lock(m_mutex);
+    return Answer(aStatus);
+  }
+
   HttpOutgoing Read(const std::string& aKind, const std::string& aName)
   {
     std::lock_guard lock(m_mutex);
@@ -67,11 +74,15 @@
   {
     std::unique_lock lock(m_mutex);
     json events = json::array();
+    uint64_t era = m_era;
     m_changed.wait_for(lock, aWait, [&] {
       events = EventsAfter(aKind, aRevision);
-      return !events.empty() || aRevision < m_oldest;
+      return !events.empty() || IsHistoryGone(aRevision) || era != m_era;
     });
-    if (aRevision < m_oldest) {
+    if (era != m_era) {
+      return Answer(503);
+    }
+    if (IsHistoryGone(aRevision)) {
       return Answer(410);
     }
     return Answer(200, { { "events", events }, { "at", m_revision } });
@@ -128,7 +139,56 @@
     m_changed.notify_all();
   }
 
+  /** Keeps a copy of all objects, from which Restore starts. */
+  void TakeCopy()
+  {
+    std::lock_guard lock(m_mutex);
+    m_copy = { m_objects, m_revision };
+  }
+
+  /**
+   * Goes back to the copy: the writes since are gone, revisions are given out
+   * again from the copy's, and the history before is not available. The
+   * operator writes a configuration again that the copy lacks. Watches that
+   * wait are ended with an error.
+   */
+  void Restore()
+  {
+    std::lock_guard lock(m_mutex);
+    std::map<std::string, json> configurations = m_objects[kConfigKind];
+    m_objects = m_copy.m_objects;
+    m_revision = m_copy.m_revision;
+    m_oldest = m_revision;
+    m_history.clear();
+    m_era += 1;
+    for (const auto& [name, object] : configurations) {
+      if (m_objects[kConfigKind][name]["spec"] != object["spec"]) {
+        Store(kConfigKind, name, object);
+      }
+    }
+    m_changed.notify_all();
+  }
+
 private:
+  // Called with the lock, so that an answer tells the era of its contents.
+  HttpOutgoing Answer(uint16_t aStatus, const json& aBody = nullptr) const
+  {
+    return AnswerInEra(m_era, aStatus, aBody);
+  }
+
+  using Kinds = std::map<std::string, std::map<std::string, json>>;
+  struct Copy
+  {
+    Kinds m_objects;
+    uint64_t m_revision = 1;
+  };
+
+  // The history also lacks revisions that were not given out yet.
+  bool IsHistoryGone(uint64_t aRevision) const
+  {
+    return aRevision < m_oldest || aRevision > m_revision;
+  }
+
   json EventsAfter(const std::string& aKind, uint64_t aRevision) const
   {
     json events = json::array();
@@ -161,8 +221,10 @@
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
-  std::map<std::string, std::map<std::string, json>> m_objects;
+  Kinds m_objects;
+  Copy m_copy;
   std::deque<Event> m_history;
+  uint64_t m_era = 1;
   uint64_t m_revision = 1;
   /** Watches from before this revision have lost events. */
   uint64_t m_oldest = 0;
@@ -188,35 +250,51 @@
       const std::string& aName)
 {
   if (aRequest.m_body.size() > kMaxValueBytes) {
-    return Answer(413);
+    return aObjects.Error(413);
   }
   if (aRequest.m_method == "DELETE") {
     return aObjects.Remove(aKind, aName);
   }
   json body = json::parse(aRequest.m_body, nullptr, false);
   if (!body.is_object() || !body.contains("meta")) {
-    return Answer(400);
+    return aObjects.Error(400);
   }
   return aName.empty() ? aObjects.Create(aKind, body)
                        : aObjects.Replace(aKind, aName, body);
 }
 
 HttpOutgoing
-Handle(Objects& aObjects, Faults& aFaults, const HttpIncoming& aRequest)
+SetFaults(Objects& aObjects, Faults& aFaults, const HttpIncoming& aRequest)
 {
-  if (aRequest.m_path == "/faults") {
+  if (!aRequest.Parameter("outage").empty()) {
     aFaults.m_isOut = aRequest.Parameter("outage") == "1";
+  }
+  if (!aRequest.Parameter("lost").empty()) {
     aFaults.m_lostAnswers = std::atoi(aRequest.Parameter("lost").c_str());
-    if (aRequest.Parameter("compact") == "1") {
-      aObjects.DropHistory();
-    }
-    return { 200, {}, "", "" };
+  }
+  if (aRequest.Parameter("compact") == "1") {
+    aObjects.DropHistory();
+  }
+  if (aRequest.Parameter("copy") == "1") {
+    aObjects.TakeCopy();
+  }
+  if (aRequest.Parameter("restore") == "1") {
+    aObjects.Restore();
+  }
+  return { 200, {}, "", "" };
+}
+
+HttpOutgoing
+Handle(Objects& aObjects, Faults& aFaults, const HttpIncoming& aRequest)
+{
+  if (aRequest.m_path == "/faults") {
+    return SetFaults(aObjects, aFaults, aRequest);
   }
   if (aFaults.m_isOut) {
-    return Answer(503);
+    return aObjects.Error(503);
   }
   if (!aRequest.m_path.starts_with(kObjectsPath)) {
-    return Answer(404);
+    return aObjects.Error(404);
   }
   std::string rest = aRequest.m_path.substr(std::string(kObjectsPath).size());
   size_t slash = rest.find('/');
@@ -226,7 +304,7 @@
     HttpOutgoing written = Write(aObjects, aRequest, kind, name);
     if (aFaults.m_lostAnswers > 0) {
       aFaults.m_lostAnswers -= 1;
-      return Answer(504);
+      return aObjects.Error(504);
     }
     return written;
   }
--- a/test/process/JournalBatches.cpp
+++ b/test/process/JournalBatches.cpp
@@ -31,3 +31,27 @@
   AuditReport report = AuditStoredJournal(cluster.StoreAddress(), "busy-agent");
   cr_assert_eq(report.m_started, kFlows);
 }
+
+// The answer to the first attempt is lost and more records arrive before the
+// second one. The batch that the store already has lacks them.
+Test(JournalBatches, RecordsAfterALostAnswerAreStored)
+{
+  FlowCluster cluster(BuildFolder(), 0, 0);
+  cluster.Start();
+  EventLoop loop;
+  StoreClient store(cluster.StoreAddress());
+  FlowJournal journal(loop, store, "agent/1", "desk");
+  auto openFlow = [&](uint32_t aCaller) {
+    journal.OnOpened(EventLoop::Now(),
+                     { { aCaller, 1024 }, FlowCluster::Service() });
+  };
+  openFlow(0x64400001);
+  cluster.DisturbStore("lost=1");
+  journal.Flush([&] {
+    openFlow(0x64400002);
+    journal.Flush([&] { loop.Stop(); });
+  });
+  loop.Run();
+  AuditReport report = AuditStoredJournal(cluster.StoreAddress(), "agent");
+  cr_assert_eq(report.m_started, 2);
+}
