Resume a watch only in the era of the store in which it began

Callers: routes that the operator had changed, and the store had acknowledged, were not served; new flows were refused by balancers with an older version (CONFIG). Cause: a watch was resumed from a revision of the history before the restoration. When the new history has reached that revision by then, the store has no reason for 410, and what has a lower or the same revision is never read. The resumed watch also waited up to 28 s before its answer showed anything.

A watcher keeps a StorePosition, era and revision. An answer of another era makes it list anew, a listing of an earlier era is refused. After a failure the first watch does not wait, so that its answer shows the era at once. What one call of a process learns of the era reaches both watchers. Answers to a call that was given up change nothing.

RestoredStore::ChangeWithAReusedRevisionComesIntoForce failed before and passes.

--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -140,6 +140,12 @@
   m_loop.RunEvery(Seconds(1), LogWhatWasLeftOut);
   m_loop.RunAfter(m_settings.m_staleEntryAfter,
                   [this] { RemoveStaleEntries(); });
+  m_store.SetOnRestored([this](uint64_t aEra) {
+    m_loop.Post([this, aEra] {
+      m_configWatcher.OnStoreRestored(aEra);
+      m_agentsWatcher.OnStoreRestored(aEra);
+    });
+  });
   m_configWatcher.Start();
   m_agentsWatcher.Start();
   return {};
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -21,6 +21,8 @@
 /** Before the first listing, every so many attempts use the full timeout, for a
  * store that is slow. */
 constexpr uint32_t kFullTimeoutEvery = 3;
+/** Time that the first watch after a failure waits for a change. */
+constexpr Duration kResumeTimeout = Milliseconds(1);
 /** Maximum number of times that the retry delay doubles. */
 constexpr uint32_t kMaxDoublings = 3;
 
@@ -47,17 +49,23 @@
       "store-listing",
       { { "kind", m_kind },
         { "reason", NameOf(kListReasonNames, aReason) },
-        { "era", m_position.m_era },
-        { "revision", m_position.m_revision } });
+        { "kept_era", m_position.m_era },
+        { "kept_revision", m_position.m_revision },
+        { "era", m_era } });
+  m_isListing = true;
   List();
 }
 
 void
 StoreWatcher::List()
 {
-  auto onListed = [this](Result<StoreListing> aListing) {
-    m_loop.Post([this, listing = std::move(aListing)]() mutable {
-      OnListed(std::move(listing));
+  uint64_t number = ++m_callNumber;
+  m_isWatchDelayed = false;
+  auto onListed = [this, number](Result<StoreListing> aListing) {
+    m_loop.Post([this, number, listing = std::move(aListing)]() mutable {
+      if (number == m_callNumber) {
+        OnListed(std::move(listing));
+      }
     });
   };
   bool usesShortTimeout = !m_position.IsKnown() &&
@@ -71,12 +79,17 @@
 void
 StoreWatcher::OnListed(Result<StoreListing> aListing)
 {
+  if (aListing && aListing->m_position.m_era < m_era) {
+    aListing = Failure(Step::CallPlatform, m_kind, "listing of an earlier era");
+  }
   if (!aListing) {
     return RetryLater(aListing.error(), &StoreWatcher::List);
   }
   OnSuccess();
+  m_isListing = false;
   m_objects.clear();
   m_position = aListing->m_position;
+  m_era = m_position.m_era;
   for (StoreObject& object : aListing->m_objects) {
     std::string name = object.m_name;
     m_objects[name] = std::move(object);
@@ -85,19 +98,45 @@
   Watch();
 }
 
+void
+StoreWatcher::OnStoreRestored(uint64_t aEra)
+{
+  if (aEra <= m_era) {
+    return;
+  }
+  m_era = aEra;
+  if (m_position.IsKnown() && !m_isListing) {
+    ListAnew(ListReason::StoreRestored);
+  }
+}
+
 void
 StoreWatcher::Watch()
 {
+  uint64_t number = ++m_callNumber;
+  m_isWatchDelayed = false;
   m_store.Watch(m_kind,
                 m_position.m_revision,
-                m_watchTimeout(),
-                [this](Result<StoreChanges> aChanges) {
-                  m_loop.Post([this, changes = std::move(aChanges)]() mutable {
-                    OnChanges(std::move(changes));
-                  });
+                NextWatchTimeout(),
+                [this, number](Result<StoreChanges> aChanges) {
+                  m_loop.Post(
+                    [this, number, changes = std::move(aChanges)]() mutable {
+                      if (number == m_callNumber) {
+                        OnChanges(std::move(changes));
+                      }
+                    });
                 });
 }
 
+// The store may have been restored while no watch was waiting there. It cannot
+// tell a revision that it gave out before from one that it gave out again, so
+// after a failure the first answer, which shows the era, must not wait.
+Duration
+StoreWatcher::NextWatchTimeout()
+{
+  return m_consecutiveFailures > 0 ? kResumeTimeout : m_watchTimeout();
+}
+
 void
 StoreWatcher::OnChanges(Result<StoreChanges> aChanges)
 {
@@ -105,12 +144,15 @@
     return RetryLater(aChanges.error(), &StoreWatcher::Watch);
   }
   OnSuccess();
+  const StorePosition& answered = aChanges->m_position;
+  m_era = std::max(m_era, answered.m_era);
+  if (answered.m_era != m_position.m_era) {
+    return ListAnew(ListReason::StoreRestored);
+  }
   if (aChanges->m_isHistoryGone) {
     return ListAnew(ListReason::HistoryGone);
   }
-  LogEraChange(aChanges->m_position);
-  m_position.m_revision =
-    std::max(m_position.m_revision, aChanges->m_position.m_revision);
+  m_position = std::max(m_position, answered);
   for (StoreChange& change : aChanges->m_changes) {
     std::string name = change.m_object.m_name;
     if (change.m_isRemoved) {
@@ -132,25 +174,17 @@
 {
   Duration delay = BatchDelay(m_objects.size());
   m_isWatchDelayed = delay > kMinBatchDelay;
-  m_loop.RunAfter(delay, [this] {
-    m_isWatchDelayed = false;
-    Watch();
-  });
+  RunNext(delay, &StoreWatcher::Watch);
 }
 
 void
-StoreWatcher::LogEraChange(const StorePosition& aAnswered) const
+StoreWatcher::RunNext(Duration aDelay, void (StoreWatcher::*aNext)())
 {
-  if (aAnswered.m_era == m_position.m_era) {
-    return;
-  }
-  Log(LogLevel::Warning,
-      "store-era-changed",
-      { { "kind", m_kind },
-        { "era", aAnswered.m_era },
-        { "revision", aAnswered.m_revision },
-        { "kept_era", m_position.m_era },
-        { "kept_revision", m_position.m_revision } });
+  m_loop.RunAfter(aDelay, [this, aNext, number = m_callNumber] {
+    if (number == m_callNumber) {
+      (this->*aNext)();
+    }
+  });
 }
 
 void
@@ -184,8 +218,7 @@
     !m_position.IsKnown() ? kMaxRetryDelayUnlisted : kMaxRetryDelay);
   // Jitter spreads the retries of processes that lost the store at once.
   std::uniform_int_distribution<Duration::rep> jitter(0, delay.count() / 2);
-  m_loop.RunAfter(delay + Duration(jitter(m_random)),
-                  [this, aNext] { (this->*aNext)(); });
+  RunNext(delay + Duration(jitter(m_random)), aNext);
 }
 
 } // namespace bilberryfield
--- a/packages/flownode/StoreWatcher.h
+++ b/packages/flownode/StoreWatcher.h
@@ -13,19 +13,22 @@
 enum class ListReason : uint8_t
 {
   Start,
-  HistoryGone, /**< The store has discarded the changes since the position. */
+  HistoryGone,   /**< The store has discarded the changes since the position. */
+  StoreRestored, /**< The position is of another era of the store. */
   Count,
 };
 
-inline constexpr NameTable<ListReason, 2> kListReasonNames = { {
+inline constexpr NameTable<ListReason, 3> kListReasonNames = { {
   { ListReason::Start, "start" },
   { ListReason::HistoryGone, "history-gone" },
+  { ListReason::StoreRestored, "store-restored" },
 } };
 
 /**
  * Keeps a copy of all objects of one kind in the platform's store: lists them
  * once, then watches for changes. Failed calls are retried with backoff until
- * the store answers.
+ * the store answers. The position of a watch counts only in the era in which it
+ * was received; after a restoration of the store the objects are listed anew.
  */
 class StoreWatcher
 {
@@ -47,10 +50,14 @@
   /** Starts the first listing. */
   void Start() { ListAnew(ListReason::Start); }
 
+  /** Lists the objects anew if they are of an earlier era than aEra, which
+   * another call of this process has shown. */
+  void OnStoreRestored(uint64_t aEra);
+
   /** True once a listing has succeeded and while the last call succeeded. */
   bool IsConnected() const
   {
-    return m_consecutiveFailures == 0 && m_position.IsKnown();
+    return m_consecutiveFailures == 0 && m_position.IsKnown() && !m_isListing;
   }
 
   /** True while changes are received without a long delay. */
@@ -71,11 +78,13 @@
   void ListAnew(ListReason aReason);
   void List();
   void Watch();
+  Duration NextWatchTimeout();
+  /** Runs aNext after a delay unless another call was begun meanwhile. */
+  void RunNext(Duration aDelay, void (StoreWatcher::*aNext)());
   void ScheduleNextWatch();
   void OnListed(Result<StoreListing> aListing);
   void OnChanges(Result<StoreChanges> aChanges);
   void RetryLater(const StepError& aError, void (StoreWatcher::*aNext)());
-  void LogEraChange(const StorePosition& aAnswered) const;
   void OnSuccess();
 
   EventLoop& m_loop;
@@ -85,6 +94,11 @@
   WatchTimeout m_watchTimeout;
   Objects m_objects;
   StorePosition m_position;
+  /** Latest era that an answer or another call of this process has shown. */
+  uint64_t m_era = 0;
+  /** Number of the call in progress; answers to earlier ones are ignored. */
+  uint64_t m_callNumber = 0;
+  bool m_isListing = false;
   uint32_t m_consecutiveFailures = 0;
   /** The next watch waits for longer than the minimum delay. */
   bool m_isWatchDelayed = false;
