Order the agent list by era and revision wherever it is kept or passed on

Callers: after a restoration a new server got no flows, and one that was gone stayed listed, until the store's revision had grown past that of the list before; entries of live agents that the store had lost were not written again.

All now use StorePosition. VersionHolder is a template: of the operator's version for routes, which the operator numbers and which no restoration gives out again, and of StorePosition for agents.

Builds side by side: the era is an additional field, left out when 0, that earlier builds ignore. A position without an era counts as older than any with one, so a list of an earlier build never replaces a newer one; only the exchange of the agent list between builds is lost (RestoredRevisions).

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -21,13 +21,13 @@
 
 void
 AgentList::SetListed(TimePoint aNow,
-                     uint64_t aRevision,
+                     const StorePosition& aPosition,
                      const std::vector<AgentEntry>& aEntries)
 {
-  if (aRevision <= m_revision) {
+  if (aPosition <= m_position) {
     return;
   }
-  m_revision = aRevision;
+  m_position = aPosition;
   for (auto& [ip, agent] : m_agents) {
     agent.m_isListed = false;
   }
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -2,6 +2,7 @@
 
 #include "FlowMessages.h"
 #include "Placement.h"
+#include "StorePosition.h"
 
 #include <map>
 #include <set>
@@ -31,7 +32,7 @@
   TimePoint m_at;
   /** Versions that the subscription announced. */
   uint64_t m_routesVersion = 0;
-  uint64_t m_agentsVersion = 0;
+  StorePosition m_agentsPosition;
 };
 
 /** The state of an agent at one balancer. */
@@ -69,16 +70,16 @@
   {
   }
 
-  /** Replaces the store's list; a revision that is not newer is ignored. Agents
+  /** Replaces the store's list; a position that is not newer is ignored. Agents
    * that are no longer listed stay until OnTick evicts them. */
   void SetListed(TimePoint aNow,
-                 uint64_t aRevision,
+                 const StorePosition& aPosition,
                  const std::vector<AgentEntry>& aEntries);
 
   /** True once a list of the store was received. */
-  bool IsLoaded() const { return m_revision > 0; }
-  /** Revision of the store's list; 0 before the first one. */
-  uint64_t Revision() const { return m_revision; }
+  bool IsLoaded() const { return m_position.IsKnown(); }
+  /** Position of the store's list; unknown before the first one. */
+  const StorePosition& Position() const { return m_position; }
 
   /** Handles a full report. The agent is identified by its packet address and
    * added if it is new. */
@@ -149,7 +150,7 @@
   bool IsAwaitingFirstReport(TimePoint aNow, const AgentState& aAgent) const;
 
   std::string m_ownDomain;
-  uint64_t m_revision = 0;
+  StorePosition m_position;
   TimePoint m_nextEviction;
   std::map<uint32_t, AgentState> m_agents;
   /** Agent addresses by service, in ascending order. */
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -2,9 +2,11 @@
 
 #include "NameTable.h"
 #include "Packet.h"
+#include "StorePosition.h"
 #include "Time.h"
 
 #include <algorithm>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -35,11 +37,14 @@
   return kServerConditionNames;
 }
 
-/** The newest known version of the routes or of the agent list, and a balancer
- * that holds it. */
+/** Version of the operator's configuration, which the operator numbers. */
+using RoutesVersion = uint64_t;
+
+/** The newest known version of something, and a balancer that holds it. */
+template<typename Version>
 struct VersionHolder
 {
-  uint64_t m_version = 0;
+  Version m_version{};
   /** Address at which the holder serves a snapshot of that version. */
   Endpoint m_holder;
 
@@ -48,11 +53,20 @@
   template<typename Self, typename Visitor>
   static void Fields(Self& aSelf, Visitor& aVisitor)
   {
-    aVisitor("v", aSelf.m_version);
+    if constexpr (std::is_integral_v<Version>) {
+      aVisitor("v", aSelf.m_version);
+    } else {
+      Version::Fields(aSelf.m_version, aVisitor);
+    }
     aVisitor("h", aSelf.m_holder);
   }
 };
 
+/** A balancer with a version of the routes. */
+using RoutesHolder = VersionHolder<RoutesVersion>;
+/** A balancer with the agent list of a position of the store. */
+using AgentsHolder = VersionHolder<StorePosition>;
+
 /** The intervals at which a balancer asks an agent for load reports. */
 struct ReportIntervals
 {
@@ -82,8 +96,8 @@
 {
   ReportIntervals m_intervals;
   /** Newest versions of the routes and the agent list at the balancer. */
-  VersionHolder m_routes;
-  VersionHolder m_agents;
+  RoutesHolder m_routes;
+  AgentsHolder m_agents;
   /** The agent is in the platform's store, as far as the balancer has read. */
   bool m_isListed = true;
   /** Service tag from the last report received from the agent; 0 before the
@@ -139,8 +153,8 @@
   Endpoint m_packets;
   ServerLoad m_load;
   /** Newest versions in the subscriptions that the agent received. */
-  VersionHolder m_routes;
-  VersionHolder m_agents;
+  RoutesHolder m_routes;
+  AgentsHolder m_agents;
 
   bool operator==(const AgentReport&) const = default;
 
--- a/packages/flow/PeerVersions.cpp
+++ b/packages/flow/PeerVersions.cpp
@@ -2,10 +2,11 @@
 
 namespace bilberryfield {
 
+template<typename Version>
 void
 PeerVersions::Update(TimePoint aNow,
-                     const VersionHolder& aReported,
-                     NewestVersion& aNewest)
+                     const VersionHolder<Version>& aReported,
+                     Newest<Version>& aNewest)
 {
   if (aReported.m_version > aNewest.m_latest.m_version) {
     aNewest = { aReported, aNow };
@@ -16,10 +17,20 @@
   }
 }
 
+template<typename Version>
+bool
+PeerVersions::IsDue(TimePoint aNow,
+                    const Newest<Version>& aNewest,
+                    const Version& aOwn)
+{
+  return aNewest.m_latest.m_version > aOwn &&
+         aNow - aNewest.m_reportedAt >= kStoreGracePeriod;
+}
+
 void
 PeerVersions::OnReport(TimePoint aNow,
-                       const VersionHolder& aRoutes,
-                       const VersionHolder& aAgents)
+                       const RoutesHolder& aRoutes,
+                       const AgentsHolder& aAgents)
 {
   Update(aNow, aRoutes, m_routes);
   Update(aNow, aAgents, m_agents);
@@ -31,21 +42,17 @@
   if (m_selectedAt && aNow - *m_selectedAt < kRetryInterval) {
     return std::nullopt;
   }
-  auto isDue = [&](const NewestVersion& aNewest, uint64_t aOwnVersion) {
-    return aNewest.m_latest.m_version > aOwnVersion &&
-           aNow - aNewest.m_reportedAt >= kStoreGracePeriod;
-  };
-  const NewestVersion* due = nullptr;
-  if (isDue(m_routes, aOwn.m_routes)) {
-    due = &m_routes;
-  } else if (!aOwn.m_isAgentListWatched && isDue(m_agents, aOwn.m_agents)) {
-    due = &m_agents;
+  std::optional<Endpoint> holder;
+  if (IsDue(aNow, m_routes, aOwn.m_routes)) {
+    holder = m_routes.m_latest.m_holder;
+  } else if (!aOwn.m_isAgentListWatched &&
+             IsDue(aNow, m_agents, aOwn.m_agents)) {
+    holder = m_agents.m_latest.m_holder;
   }
-  if (!due) {
-    return std::nullopt;
+  if (holder) {
+    m_selectedAt = aNow;
   }
-  m_selectedAt = aNow;
-  return due->m_latest.m_holder;
+  return holder;
 }
 
 } // namespace bilberryfield
--- a/packages/flow/PeerVersions.h
+++ b/packages/flow/PeerVersions.h
@@ -9,8 +9,8 @@
 /** The versions that this balancer has, to compare with reported ones. */
 struct LocalVersions
 {
-  uint64_t m_routes = 0;
-  uint64_t m_agents = 0;
+  RoutesVersion m_routes = 0;
+  StorePosition m_agents;
   /** The watch of the agent list in the store is working. */
   bool m_isAgentListWatched = false;
 };
@@ -25,8 +25,8 @@
   /** Records the versions in an agent's report and the balancers that hold
    * them. */
   void OnReport(TimePoint aNow,
-                const VersionHolder& aRoutes,
-                const VersionHolder& aAgents);
+                const RoutesHolder& aRoutes,
+                const AgentsHolder& aAgents);
 
   /** Returns the balancer to fetch versions from, if a reported version is
    * newer and kStoreGracePeriod has passed; at most once per kRetryInterval. */
@@ -38,19 +38,25 @@
   static constexpr Duration kRetryInterval = Milliseconds(500);
 
 private:
-  struct NewestVersion
+  template<typename Version>
+  struct Newest
   {
-    VersionHolder m_latest;
+    VersionHolder<Version> m_latest;
     /** When an agent first reported this version. */
     TimePoint m_reportedAt;
   };
 
+  template<typename Version>
   static void Update(TimePoint aNow,
-                     const VersionHolder& aReported,
-                     NewestVersion& aNewest);
-
-  NewestVersion m_routes;
-  NewestVersion m_agents;
+                     const VersionHolder<Version>& aReported,
+                     Newest<Version>& aNewest);
+  template<typename Version>
+  static bool IsDue(TimePoint aNow,
+                    const Newest<Version>& aNewest,
+                    const Version& aOwn);
+
+  Newest<RoutesVersion> m_routes;
+  Newest<StorePosition> m_agents;
   std::optional<TimePoint> m_selectedAt;
 };
 
--- a/packages/flow/ReportSchedule.h
+++ b/packages/flow/ReportSchedule.h
@@ -49,8 +49,8 @@
     ServerLoad m_reportedLoad;
     bool m_hasAgentDetails = false;
     /** Versions that the balancer has, or that were reported to it. */
-    uint64_t m_routes = 0;
-    uint64_t m_agents = 0;
+    RoutesVersion m_routes = 0;
+    StorePosition m_agents;
   };
 
   static bool IsDue(TimePoint aNow,
--- a/packages/flow/SubscriptionSchedule.cpp
+++ b/packages/flow/SubscriptionSchedule.cpp
@@ -105,7 +105,7 @@
   const SentSubscription& sent = *aAgent.m_lastSubscription;
   Duration elapsed = aNow - sent.m_at;
   bool hasNewVersion = sent.m_routesVersion != aNext.m_routesVersion ||
-                       sent.m_agentsVersion != aNext.m_agentsVersion;
+                       sent.m_agentsPosition != aNext.m_agentsPosition;
   return elapsed >= RenewalInterval(aAllAgents) ||
          (hasNewVersion && elapsed >= kVersionUpdateInterval) ||
          (elapsed >= RetryInterval(aAllAgents) &&
@@ -117,8 +117,8 @@
 std::vector<DueSubscription>
 TakeDueSubscriptions(TimePoint aNow,
                      AgentList& aAgents,
-                     const VersionHolder& aRoutes,
-                     const VersionHolder& aListed)
+                     const RoutesHolder& aRoutes,
+                     const AgentsHolder& aListed)
 {
   SentSubscription next{ aNow, aRoutes.m_version, aListed.m_version };
   size_t all = aAgents.All().size();
--- a/packages/flow/SubscriptionSchedule.h
+++ b/packages/flow/SubscriptionSchedule.h
@@ -22,7 +22,7 @@
 std::vector<DueSubscription>
 TakeDueSubscriptions(TimePoint aNow,
                      AgentList& aAgents,
-                     const VersionHolder& aRoutes,
-                     const VersionHolder& aListed);
+                     const RoutesHolder& aRoutes,
+                     const AgentsHolder& aListed);
 
 } // namespace bilberryfield
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -199,9 +199,9 @@
   if (!aSnapshot.m_configuration.empty()) {
     OnConfiguration(aSnapshot.m_configuration, "peer", {});
   }
-  if (aSnapshot.m_agentsRevision > 0) {
+  if (aSnapshot.m_agentsPosition.IsKnown()) {
     m_core.Agents().SetListed(
-      EventLoop::Now(), aSnapshot.m_agentsRevision, aSnapshot.m_agents);
+      EventLoop::Now(), aSnapshot.m_agentsPosition, aSnapshot.m_agents);
     SubscribeToAgents();
   }
 }
@@ -209,16 +209,14 @@
 AdminAnswer
 BalancerDaemon::Snapshot(const HttpIncoming& aRequest) const
 {
-  auto versionParameter = [&](const char* aName) {
-    return std::strtoull(aRequest.Parameter(aName).c_str(), nullptr, 10);
-  };
+  LocalVersions requested = RequestedVersions(aRequest);
   PeerSnapshot snapshot;
   snapshot.m_routesVersion = m_core.RoutesVersion();
-  if (snapshot.m_routesVersion > versionParameter("routes")) {
+  if (snapshot.m_routesVersion > requested.m_routes) {
     snapshot.m_configuration = m_configurationText;
   }
-  if (m_core.Agents().Revision() > versionParameter("agents")) {
-    snapshot.m_agentsRevision = m_core.Agents().Revision();
+  if (m_core.Agents().Position() > requested.m_agents) {
+    snapshot.m_agentsPosition = m_core.Agents().Position();
     for (const auto& [ip, agent] : m_core.Agents().All()) {
       if (agent.m_isListed) {
         snapshot.m_agents.push_back(agent.m_entry);
@@ -252,7 +250,8 @@
              { "failure_domain", m_settings.m_domain },
              { "ready", m_isReady.load() },
              { "routes_version", m_core.RoutesVersion() },
-             { "agents_revision", m_core.Agents().Revision() },
+             { "store_era", m_core.Agents().Position().m_era },
+             { "agents_revision", m_core.Agents().Position().m_revision },
              { "flows", m_core.FlowCount() },
              { "agents", std::move(agents) } } };
 }
@@ -261,7 +260,7 @@
 BalancerDaemon::CurrentVersions() const
 {
   return { m_core.RoutesVersion(),
-           m_core.Agents().Revision(),
+           m_core.Agents().Position(),
            m_agentsWatcher.IsConnected() };
 }
 
@@ -275,7 +274,7 @@
   if (std::optional<Endpoint> peer = m_peerVersions.SelectPeer(now, own)) {
     return m_peerSync.FetchFrom(*peer, own);
   }
-  bool isLoaded = own.m_routes > 0 && own.m_agents > 0;
+  bool isLoaded = own.m_routes > 0 && own.m_agents.IsKnown();
   if (!isLoaded && now - m_startedAt >= PeerVersions::kStoreGracePeriod) {
     m_peerSync.FetchFromNextSeed(own);
   }
@@ -296,14 +295,15 @@
           { { "name", name }, { "detail", entry.error().m_detail } });
     }
   }
-  uint64_t revision = aPosition.m_revision;
-  m_core.Agents().SetListed(EventLoop::Now(), revision, entries);
+  m_core.Agents().SetListed(EventLoop::Now(), aPosition, entries);
+  const StorePosition& inForce = m_core.Agents().Position();
   Log(LogLevel::Info,
       "agents-listed",
       { { "agents", entries.size() },
         { "era", aPosition.m_era },
-        { "revision", revision },
-        { "in_force", m_core.Agents().Revision() } });
+        { "revision", aPosition.m_revision },
+        { "in_force_era", inForce.m_era },
+        { "in_force", inForce.m_revision } });
   SubscribeToAgents();
 }
 
@@ -465,7 +465,8 @@
   text.Add("bilberry_flows", m_core.FlowCount());
   text.Add("bilberry_routes_version", m_core.RoutesVersion());
   text.Add("bilberry_agents", m_core.Agents().All().size());
-  text.Add("bilberry_agents_revision", m_core.Agents().Revision());
+  text.Add("bilberry_agents_era", m_core.Agents().Position().m_era);
+  text.Add("bilberry_agents_revision", m_core.Agents().Position().m_revision);
   text.Add("bilberry_store_era", m_store.Era());
   AddWatcherMetrics(text, kConfigKind, m_configWatcher);
   AddWatcherMetrics(text, kAgentKind, m_agentsWatcher);
@@ -503,7 +504,7 @@
     TakeDueSubscriptions(EventLoop::Now(),
                          m_core.Agents(),
                          { m_core.RoutesVersion(), ownAddress },
-                         { m_core.Agents().Revision(), ownAddress });
+                         { m_core.Agents().Position(), ownAddress });
   for (const DueSubscription& subscription : subscriptions) {
     m_control.Send(subscription.m_agentIp, subscription.m_message);
   }
--- a/packages/flownode/PeerSync.cpp
+++ b/packages/flownode/PeerSync.cpp
@@ -13,6 +13,24 @@
 
 } // namespace
 
+std::string
+SnapshotRequestPath(const LocalVersions& aOwn)
+{
+  return std::string(kSnapshotPath) +
+         "?routes=" + std::to_string(aOwn.m_routes) +
+         "&agents=" + std::to_string(aOwn.m_agents.m_revision) +
+         "&agents_era=" + std::to_string(aOwn.m_agents.m_era);
+}
+
+LocalVersions
+RequestedVersions(const HttpIncoming& aRequest)
+{
+  auto number = [&](const char* aName) {
+    return std::strtoull(aRequest.Parameter(aName).c_str(), nullptr, 10);
+  };
+  return { number("routes"), { number("agents_era"), number("agents") } };
+}
+
 json
 EncodeSnapshot(const PeerSnapshot& aSnapshot)
 {
@@ -23,7 +41,8 @@
   return { { "configuration", aSnapshot.m_configuration },
            { "routes_version", aSnapshot.m_routesVersion },
            { "agents", std::move(agents) },
-           { "agents_revision", aSnapshot.m_agentsRevision } };
+           { "agents_revision", aSnapshot.m_agentsPosition.m_revision },
+           { "agents_era", aSnapshot.m_agentsPosition.m_era } };
 }
 
 Result<PeerSnapshot>
@@ -34,7 +53,8 @@
     json fields = json::parse(aText);
     snapshot.m_configuration = fields.at("configuration").get<std::string>();
     snapshot.m_routesVersion = fields.at("routes_version").get<uint64_t>();
-    snapshot.m_agentsRevision = fields.at("agents_revision").get<uint64_t>();
+    snapshot.m_agentsPosition = { fields.value("agents_era", uint64_t{ 0 }),
+                                  fields.at("agents_revision") };
     for (const json& item : fields.at("agents")) {
       Result<AgentEntry> entry = AgentEntryFromJson(aPeer, item);
       if (!entry) {
@@ -79,9 +99,7 @@
   m_isFetching = true;
   HttpCall call;
   call.m_host = ToText(aPeer);
-  call.m_path = std::string(kSnapshotPath) +
-                "?routes=" + std::to_string(aOwn.m_routes) +
-                "&agents=" + std::to_string(aOwn.m_agents);
+  call.m_path = SnapshotRequestPath(aOwn);
   call.m_timeout = kFetchTimeout;
   m_client.Send(call, [this, peer = call.m_host](HttpResult aResult) {
     m_loop.Post([this, peer, result = std::move(aResult)] {
@@ -102,7 +120,8 @@
           { { "peer", peer },
             { "routes", snapshot->m_routesVersion },
             { "agents", snapshot->m_agents.size() },
-            { "agents_revision", snapshot->m_agentsRevision } });
+            { "agents_era", snapshot->m_agentsPosition.m_era },
+            { "agents_revision", snapshot->m_agentsPosition.m_revision } });
       m_onSnapshot(*snapshot);
     });
   });
--- a/packages/flownode/PeerSync.h
+++ b/packages/flownode/PeerSync.h
@@ -13,15 +13,25 @@
   /** JSON text of the operator's configuration; empty when the requester's
    * version is not older. */
   std::string m_configuration;
-  uint64_t m_routesVersion = 0;
+  RoutesVersion m_routesVersion = 0;
   std::vector<AgentEntry> m_agents;
-  /** 0, with an empty list, when the requester's revision is not older. */
-  uint64_t m_agentsRevision = 0;
+  /** Position of the list; unknown, with an empty list, when the requester's is
+   * not older. */
+  StorePosition m_agentsPosition;
 };
 
 /** HTTP path at which a balancer serves its snapshot. */
 inline constexpr const char* kSnapshotPath = "/snapshot";
 
+/** Path and query that ask a balancer for what is newer than aOwn. */
+std::string
+SnapshotRequestPath(const LocalVersions& aOwn);
+
+/** The versions that a request for a snapshot tells. A request of a build that
+ * knows no eras tells the position of era 0. */
+LocalVersions
+RequestedVersions(const HttpIncoming& aRequest);
+
 /** Encodes a snapshot as JSON. */
 nlohmann::json
 EncodeSnapshot(const PeerSnapshot& aSnapshot);
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -101,7 +101,7 @@
     entries.push_back(
       { server.m_service, server.m_domain, { ip, kPacketPort } });
   }
-  aCore.Agents().SetListed(m_now, m_revision, entries);
+  aCore.Agents().SetListed(m_now, m_position, entries);
 }
 
 uint32_t
@@ -117,7 +117,7 @@
   server.m_slots = aSlots;
   RestartAgent(ip);
   Heartbeat(server);
-  m_revision += 1;
+  m_position.m_revision += 1;
   for (Node& balancer : m_balancers) {
     ListAgents(*balancer.m_core);
   }
@@ -268,7 +268,7 @@
 void
 FakeFlowNet::SendSubscriptions(Node& aBalancer)
 {
-  VersionHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
+  RoutesHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
   for (const DueSubscription& due :
        TakeDueSubscriptions(m_now, aBalancer.m_core->Agents(), routes, {})) {
     SendDelayed([this, due, ip = aBalancer.m_ip] {
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -185,7 +185,7 @@
   std::mt19937_64 m_random;
   TimePoint m_now{ Seconds(1000) };
   uint64_t m_order = 0;
-  uint64_t m_revision = 1;
+  StorePosition m_position{ 1, 1 };
   uint64_t m_version = 0;
   double m_loss = 0;
   uint64_t m_returnCount = 0;
--- a/test/correctness/ProcessPauses.cpp
+++ b/test/correctness/ProcessPauses.cpp
@@ -19,7 +19,7 @@
 {
   auto balancer = std::make_unique<FlowBalancer>("a", 1);
   balancer->SetRoutes(DeskRoutes());
-  balancer->Agents().SetListed(kStart, 1, { { "desk", "a", kPackets } });
+  balancer->Agents().SetListed(kStart, { 1, 1 }, { { "desk", "a", kPackets } });
   balancer->Agents().OnSubscribed(kStart, kAgent, Subscribe{});
   balancer->Agents().OnReport(kStart, ReadyReport(kPackets, "a"));
   balancer->OnTick(kStart);
--- a/test/correctness/SilentAgents.cpp
+++ b/test/correctness/SilentAgents.cpp
@@ -60,7 +60,7 @@
   routes->m_routes[images] = { "images", images, { { "images", 1 } }, 1, {} };
   balancer.m_balancer.SetRoutes(routes);
   balancer.m_balancer.Agents().SetListed(
-    balancer.m_now, 1, { { "images", "a", { kUnsubscribed, 8000 } } });
+    balancer.m_now, { 1, 1 }, { { "images", "a", { kUnsubscribed, 8000 } } });
   AgentReport report = ReadyReport({ kUnsubscribed, 8000 }, "a");
   report.m_service = "images";
   balancer.m_balancer.Agents().OnReport(balancer.m_now, report);
--- a/test/correctness/Subscriptions.cpp
+++ b/test/correctness/Subscriptions.cpp
@@ -34,7 +34,7 @@
 {
   explicit SubscribingBalancer(size_t aCount, size_t aSameDomain)
   {
-    m_agents.SetListed(m_now, 1, Entries(aCount, aSameDomain));
+    m_agents.SetListed(m_now, { 1, 1 }, Entries(aCount, aSameDomain));
     RunFor(Seconds(1));
     m_entries = Entries(aCount, aSameDomain);
     ReportFromAll();
@@ -65,7 +65,7 @@
   TimePoint m_now = kStart;
   std::vector<AgentEntry> m_entries;
   AgentList m_agents{ "here" };
-  VersionHolder m_routes{ 1, {} };
+  RoutesHolder m_routes{ 1, {} };
 };
 
 double
@@ -133,7 +133,7 @@
 Test(Subscriptions, ReachManyNewAgentsInBatches)
 {
   AgentList agents("here");
-  agents.SetListed(kStart, 1, Entries(3000, 1000));
+  agents.SetListed(kStart, { 1, 1 }, Entries(3000, 1000));
   std::set<uint32_t> subscribed;
   for (int i = 0; i < 60; ++i) {
     TimePoint now = kStart + i * kSubscriptionTick;
@@ -230,7 +230,7 @@
 Test(Subscriptions, LoadOfAnUnknownAgentIsIgnored)
 {
   AgentList agents("here");
-  agents.SetListed(kStart, 1, Entries(1, 1));
+  agents.SetListed(kStart, { 1, 1 }, Entries(1, 1));
   ServerLoad load;
   load.m_condition = ServerCondition::Ready;
   agents.OnLoad(kStart, kFirstAgent, load);
--- a/test/correctness/VersionsFromPeers.cpp
+++ b/test/correctness/VersionsFromPeers.cpp
@@ -15,8 +15,8 @@
 Test(VersionsFromPeers, AreFetchedWhenTheStoreDoesNotDeliverThem)
 {
   PeerVersions versions;
-  versions.OnReport(kStart, { 7, kHolder }, { 50, kHolder });
-  LocalVersions own{ 6, 50, true };
+  versions.OnReport(kStart, { 7, kHolder }, { { 1, 50 }, kHolder });
+  LocalVersions own{ 6, { 1, 50 }, true };
   cr_assert_not(versions.SelectPeer(kStart, own).has_value());
   TimePoint later = kStart + PeerVersions::kStoreGracePeriod;
   cr_assert(versions.SelectPeer(later, own) == kHolder);
@@ -27,28 +27,40 @@
   PeerVersions versions;
   versions.OnReport(kStart, { 7, kHolder }, {});
   TimePoint later = kStart + PeerVersions::kStoreGracePeriod;
-  cr_assert(versions.SelectPeer(later, { 6, 0, true }).has_value());
-  cr_assert_not(versions.SelectPeer(later, { 6, 0, true }).has_value());
+  cr_assert(versions.SelectPeer(later, { 6, {}, true }).has_value());
+  cr_assert_not(versions.SelectPeer(later, { 6, {}, true }).has_value());
   // The holder that was reported last is selected, since the first one may have
   // stopped.
   versions.OnReport(later, { 7, kOtherHolder }, {});
   cr_assert(versions.SelectPeer(later + PeerVersions::kRetryInterval,
-                                { 6, 0, true }) == kOtherHolder);
+                                { 6, {}, true }) == kOtherHolder);
 }
 
 Test(VersionsFromPeers, AreIgnoredWhenOld)
 {
   PeerVersions versions;
-  versions.OnReport(kStart, { 5, kHolder }, { 40, kHolder });
+  versions.OnReport(kStart, { 5, kHolder }, { { 1, 40 }, kHolder });
   TimePoint later = kStart + Seconds(5);
-  cr_assert_not(versions.SelectPeer(later, { 5, 41, false }).has_value());
+  cr_assert_not(
+    versions.SelectPeer(later, { 5, { 1, 41 }, false }).has_value());
 }
 
 Test(VersionsFromPeers, IncludeAgentsOnlyWhenTheStoreWatchFails)
 {
   PeerVersions versions;
-  versions.OnReport(kStart, {}, { 40, kHolder });
+  versions.OnReport(kStart, {}, { { 1, 40 }, kHolder });
   TimePoint later = kStart + Seconds(5);
-  cr_assert_not(versions.SelectPeer(later, { 0, 39, true }).has_value());
-  cr_assert(versions.SelectPeer(later, { 0, 39, false }) == kHolder);
+  cr_assert_not(versions.SelectPeer(later, { 0, { 1, 39 }, true }).has_value());
+  cr_assert(versions.SelectPeer(later, { 0, { 1, 39 }, false }) == kHolder);
+}
+
+Test(VersionsFromPeers, OfAnEarlierEraAreOlderWhateverTheirRevision)
+{
+  PeerVersions versions;
+  versions.OnReport(kStart, {}, { { 1, 90 }, kHolder });
+  TimePoint later = kStart + Seconds(5);
+  LocalVersions own{ 0, { 2, 40 }, false };
+  cr_assert_not(versions.SelectPeer(later, own).has_value());
+  versions.OnReport(kStart, {}, { { 2, 41 }, kOtherHolder });
+  cr_assert(versions.SelectPeer(later, own) == kOtherHolder);
 }
--- a/test/fuzz/WireFormats.cpp
+++ b/test/fuzz/WireFormats.cpp
@@ -191,7 +191,7 @@
 {
   std::vector<std::string> encodedMessages = {
     EncodeFlowMessage(
-      Subscribe{ {}, { 7, { 1, 2 } }, { 9, { 1, 2 } }, true, 5 }),
+      Subscribe{ {}, { 7, { 1, 2 } }, { { 3, 9 }, { 1, 2 } }, true, 5 }),
     EncodeFlowMessage(AgentReport{}),
     EncodeFlowMessage(ServerLoad{}),
     EncodeFlowMessage(FlowQuery{ { { 1, 2 }, { 3, 4 } }, 5 }),
@@ -214,12 +214,13 @@
   PeerSnapshot snapshot;
   snapshot.m_configuration = R"({"version":7})";
   snapshot.m_routesVersion = 7;
-  snapshot.m_agentsRevision = 9;
+  snapshot.m_agentsPosition = { 2, 9 };
   snapshot.m_agents = { { "desk", "a", { 0x0A000001, 8000 } } };
   std::string encoded = EncodeSnapshot(snapshot).dump();
   Result<PeerSnapshot> decoded = DecodeSnapshot(encoded, "peer");
   cr_assert(decoded.has_value());
   cr_assert(decoded->m_agents == snapshot.m_agents);
+  cr_assert(decoded->m_agentsPosition == snapshot.m_agentsPosition);
   cr_assert(rc::check("corrupt snapshot", [&] {
     Result<PeerSnapshot> corrupt = DecodeSnapshot(CorruptCopy(encoded), "peer");
     RC_ASSERT(corrupt || !corrupt.error().m_detail.empty());
--- a/test/performance/FlowCosts.cpp
+++ b/test/performance/FlowCosts.cpp
@@ -49,7 +49,7 @@
   report.m_load.m_slots = 1'000'000;
   report.m_load.m_answerUs = 20'000;
   report.m_routes = { 12, { kBalancer, 9101 } };
-  report.m_agents = { 345, { kBalancer, 9101 } };
+  report.m_agents = { { 1, 345 }, { kBalancer, 9101 } };
   return report;
 }
 
@@ -76,7 +76,7 @@
       entries.push_back(
         { report.m_service, report.m_domain, report.m_packets });
     }
-    m_core.Agents().SetListed(m_now, 1, entries);
+    m_core.Agents().SetListed(m_now, { 1, 1 }, entries);
     for (size_t i = 0; i < aAgents; ++i) {
       m_core.Agents().OnReport(m_now, ReportOf(i, i % m_services));
     }
@@ -150,8 +150,10 @@
 MeasureSubscribing(const nlohmann::json& aAt, LoadedBalancer& aBalancer)
 {
   auto tick = [&](auto) {
-    return TakeDueSubscriptions(
-             aBalancer.Now(), aBalancer.Core().Agents(), { 1, {} }, { 1, {} })
+    return TakeDueSubscriptions(aBalancer.Now(),
+                                aBalancer.Core().Agents(),
+                                { 1, {} },
+                                { { 1, 1 }, {} })
       .size();
   };
   while (tick(0) > 0) {
