--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -115,41 +115,58 @@
   m_journal.Append(std::move(record));
 }
 
+std::optional<JournalBatch>
+FlowJournal::NextBatch() const
+{
+  if (m_journal.PendingCount() == 0) {
+    return std::nullopt;
+  }
+  return JournalBatch{ m_journal.Origin(),
+                       m_journal.LostCount(),
+                       m_journal.PendingBatch(kMaxBatchRecords) };
+}
+
 void
 FlowJournal::Flush(const std::function<void()>& aOnDone)
 {
-  if (m_isFlushing || m_journal.PendingCount() == 0) {
+  if (m_isFlushing) {
+    return aOnDone();
+  }
+  if (!m_batch) {
+    m_batch = NextBatch();
+  }
+  if (!m_batch) {
     return aOnDone();
   }
-  JournalBatch batch{ m_journal.Origin(),
-                      m_journal.LostCount(),
-                      m_journal.PendingBatch(kMaxBatchRecords) };
-  uint64_t last = batch.m_records.back().m_sequence;
-  ObjectName name =
-    NameOfKey(JournalKey(batch.m_origin, batch.m_records.front().m_sequence));
   m_isFlushing = true;
-  auto onStored = [this, last, aOnDone](const Result<StoreWrite>& aWrite) {
-    m_isFlushing = false;
-    if (!aWrite) {
-      Log(LogLevel::Warning,
-          "journal-not-stored",
-          { { "peer", aWrite.error().m_peer },
-            { "detail", aWrite.error().m_detail },
-            { "pending", m_journal.PendingCount() } });
-      return aOnDone();
-    }
-    // A conflict means that an earlier attempt stored the batch but its
-    // response was lost.
-    m_journal.OnStored(last);
-    Flush(aOnDone);
-  };
-  m_store.Create(
-    name.m_kind,
-    name.m_name,
-    EncodeValue(EncodeJournal(batch)),
-    [this, onStored](Result<StoreWrite> aWrite) {
-      m_loop.Post([onStored, write = std::move(aWrite)] { onStored(write); });
-    });
+  ObjectName name = NameOfKey(
+    JournalKey(m_batch->m_origin, m_batch->m_records.front().m_sequence));
+  m_store.Create(name.m_kind,
+                 name.m_name,
+                 EncodeValue(EncodeJournal(*m_batch)),
+                 [this, aOnDone](Result<StoreWrite> aWrite) {
+                   m_loop.Post([this, aOnDone, write = std::move(aWrite)] {
+                     m_isFlushing = false;
+                     OnWritten(write);
+                     write ? Flush(aOnDone) : aOnDone();
+                   });
+                 });
+}
+
+// A conflict means that an earlier attempt stored the batch but its response
+// was lost.
+void
+FlowJournal::OnWritten(const Result<StoreWrite>& aWrite)
+{
+  if (!aWrite) {
+    return Log(LogLevel::Warning,
+               "journal-not-stored",
+               { { "peer", aWrite.error().m_peer },
+                 { "detail", aWrite.error().m_detail },
+                 { "pending", m_journal.PendingCount() } });
+  }
+  m_journal.OnStored(m_batch->m_records.back().m_sequence);
+  m_batch.reset();
 }
 
 } // namespace bilberryfield
--- a/packages/flownode/FlowJournal.h
+++ b/packages/flownode/FlowJournal.h
@@ -11,8 +11,8 @@
 
 /**
  * The hash-chained journal of the flows that reached a server, in order, and of
- * those that were refused. It is stored in batches; after a failure the records
- * stay pending and the next flush retries them.
+ * those that were refused. It is stored in batches; after a failure the next
+ * flush stores the same batch again.
  */
 class FlowJournal
 {
@@ -45,6 +45,9 @@
 
 private:
   JournalRecord MakeRecord(TimePoint aNow, const FlowKey& aFlow) const;
+  /** Takes the oldest pending records. */
+  std::optional<JournalBatch> NextBatch() const;
+  void OnWritten(const Result<StoreWrite>& aWrite);
 
   EventLoop& m_loop;
   StoreClient& m_store;
@@ -54,6 +57,9 @@
   /** Item numbers of the open flows. */
   absl::flat_hash_map<FlowKey, uint64_t> m_itemByFlow;
   bool m_isFlushing = false;
+  /** The batch that is being stored. A write that failed may have taken effect,
+   * so it is repeated with the same records. */
+  std::optional<JournalBatch> m_batch;
 };
 
 } // namespace bilberryfield
