--- a/packages/flownode/EventLoop.cpp
+++ b/packages/flownode/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include "EventLoop.h"
 
 #include "SocketAddress.h"
+#include "SteadyClock.h"
 
 #include <boost/asio/post.hpp>
 
@@ -76,8 +77,7 @@
 TimePoint
 EventLoop::Now()
 {
-  auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(now));
+  return SteadyNow();
 }
 
 Result<void>
--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -116,8 +116,11 @@
 }
 
 std::optional<JournalBatch>
-FlowJournal::NextBatch() const
+FlowJournal::NextBatch()
 {
+  if (auto lost = m_storedBatches.TakeLost()) {
+    return lost;
+  }
   if (m_journal.PendingCount() == 0) {
     return std::nullopt;
   }
@@ -136,27 +139,29 @@
     m_batch = NextBatch();
   }
   if (!m_batch) {
-    return aOnDone();
+    return Confirm(aOnDone);
   }
   m_isFlushing = true;
+  TimePoint calledAt = EventLoop::Now();
   ObjectName name = NameOfKey(
     JournalKey(m_batch->m_origin, m_batch->m_records.front().m_sequence));
   m_store.Create(name.m_kind,
                  name.m_name,
                  EncodeValue(EncodeJournal(*m_batch)),
-                 [this, aOnDone](Result<StoreWrite> aWrite) {
-                   m_loop.Post([this, aOnDone, write = std::move(aWrite)] {
-                     m_isFlushing = false;
-                     OnWritten(write);
-                     write ? Flush(aOnDone) : aOnDone();
-                   });
+                 [this, aOnDone, calledAt](Result<StoreWrite> aWrite) {
+                   m_loop.Post(
+                     [this, aOnDone, calledAt, write = std::move(aWrite)] {
+                       m_isFlushing = false;
+                       OnWritten(calledAt, write);
+                       write ? Flush(aOnDone) : aOnDone();
+                     });
                  });
 }
 
 // A conflict means that an earlier attempt stored the batch but its response
 // was lost.
 void
-FlowJournal::OnWritten(const Result<StoreWrite>& aWrite)
+FlowJournal::OnWritten(TimePoint aCalledAt, const Result<StoreWrite>& aWrite)
 {
   if (!aWrite) {
     return Log(LogLevel::Warning,
@@ -166,7 +171,35 @@
                  { "pending", m_journal.PendingCount() } });
   }
   m_journal.OnStored(m_batch->m_records.back().m_sequence);
+  m_storedBatches.OnEra(aCalledAt, aWrite->m_era);
+  m_storedBatches.OnStored(
+    EventLoop::Now(), aWrite->m_era, std::move(*m_batch));
   m_batch.reset();
 }
 
+// Any call shows the era; reading the batch itself is the cheapest one.
+void
+FlowJournal::Confirm(const std::function<void()>& aOnDone)
+{
+  TimePoint now = EventLoop::Now();
+  const JournalBatch* batch = m_storedBatches.AwaitingConfirmation(now);
+  if (!batch) {
+    return aOnDone();
+  }
+  m_isFlushing = true;
+  ObjectName name =
+    NameOfKey(JournalKey(batch->m_origin, batch->m_records.front().m_sequence));
+  m_store.Read(
+    name.m_kind, name.m_name, [this, aOnDone, now](const auto& aObject) {
+      m_loop.Post([this, aOnDone, now, isAnswered = aObject.has_value()] {
+        m_isFlushing = false;
+        if (!isAnswered) {
+          return aOnDone();
+        }
+        m_storedBatches.OnEra(now, m_store.Era());
+        Flush(aOnDone);
+      });
+    });
+}
+
 } // namespace bilberryfield
--- a/packages/flownode/FlowJournal.h
+++ b/packages/flownode/FlowJournal.h
@@ -4,6 +4,7 @@
 #include "FlowMessages.h"
 #include "Journal.h"
 #include "StoreClient.h"
+#include "StoredBatches.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -45,9 +46,11 @@
 
 private:
   JournalRecord MakeRecord(TimePoint aNow, const FlowKey& aFlow) const;
-  /** Takes the oldest pending records. */
-  std::optional<JournalBatch> NextBatch() const;
-  void OnWritten(const Result<StoreWrite>& aWrite);
+  /** A batch that the store has lost, or the oldest pending records. */
+  std::optional<JournalBatch> NextBatch();
+  void OnWritten(TimePoint aCalledAt, const Result<StoreWrite>& aWrite);
+  /** Finds out whether the store has lost acknowledged batches. */
+  void Confirm(const std::function<void()>& aOnDone);
 
   EventLoop& m_loop;
   StoreClient& m_store;
@@ -60,6 +63,7 @@
   /** The batch that is being stored. A write that failed may have taken effect,
    * so it is repeated with the same records. */
   std::optional<JournalBatch> m_batch;
+  StoredBatches m_storedBatches;
 };
 
 } // namespace bilberryfield
--- a/packages/runtime/Log.cpp
+++ b/packages/runtime/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "LogBudget.h"
 #include "PipeAppender.h"
+#include "SteadyClock.h"
 #include "WallClock.h"
 
 #include <chrono>
@@ -54,13 +55,6 @@
   return budget;
 }
 
-TimePoint
-SteadyNow()
-{
-  auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(now));
-}
-
 log4cxx::LoggerPtr&
 TheLogger()
 {
--- a/test/correctness/JournalChain.cpp
+++ b/test/correctness/JournalChain.cpp
@@ -1,4 +1,5 @@
 #include "AgentCore.h"
+#include "StoredBatches.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -71,3 +72,31 @@
   auto fault = VerifyJournal("server/7", journal.PendingBatch(10));
   cr_assert(fault && fault->m_sequence == 1);
 }
+
+Test(JournalChain, BatchesOfAnEarlierEraAreStoredAgain)
+{
+  TimePoint start{ Seconds(100) };
+  StoredBatches batches;
+  batches.OnStored(start, 1, { "agent/1", 0, {} });
+  batches.OnEra(start + Seconds(1), 2);
+  auto lost = batches.TakeLost();
+  cr_assert(lost.has_value());
+  cr_assert_eq(lost->m_origin, "agent/1");
+  cr_assert_not(batches.TakeLost().has_value());
+}
+
+Test(JournalChain, BatchesAreKeptUntilEveryCopyHasThem)
+{
+  TimePoint start{ Seconds(100) };
+  TimePoint later = start + StoredBatches::kMaxCopyAge + Seconds(1);
+  StoredBatches batches;
+  batches.OnStored(start, 1, { "agent/1", 0, {} });
+  cr_assert_null(batches.AwaitingConfirmation(start));
+  cr_assert_not_null(batches.AwaitingConfirmation(later));
+  batches.OnEra(start + Seconds(1), 1);
+  cr_assert_not_null(batches.AwaitingConfirmation(later));
+  batches.OnEra(later, 1);
+  cr_assert_null(batches.AwaitingConfirmation(later));
+  batches.OnEra(later, 2);
+  cr_assert_not(batches.TakeLost().has_value());
+}
