Make writes conditional on the era as well as the revision

A publish or a registration that was planned before a restoration could replace another writer's object: the store gives the revision out again and compares nothing else, so the condition holds for a content that the writer never read.

RestoredStore::ConditionWithAReusedRevisionDoesNotHold failed before (the other writer's value was replaced) and passes. The reader of the published configuration no longer takes every head after a restoration for a change, over and over, until the revision has passed the one it kept.

--- a/packages/agent/JournalWriter.cpp
+++ b/packages/agent/JournalWriter.cpp
@@ -104,7 +104,7 @@
   Result<PutOutcome> put = m_platform.Put(
     JournalKey(aBatch.m_origin, aBatch.m_records.front().m_sequence),
     EncodeJournal(aBatch),
-    0);
+    {});
   if (!put) {
     Log(LogLevel::Warning,
         "journal-not-stored",
--- a/packages/balancer/ConfigWatcher.cpp
+++ b/packages/balancer/ConfigWatcher.cpp
@@ -135,7 +135,7 @@
     LogFailure(found.error());
     return false;
   }
-  uint64_t version = *found ? (*found)->m_version : 0;
+  StorePosition position = *found ? (*found)->m_position : StorePosition{};
   std::vector<std::string> seeds;
   if (*found) {
     seeds = ParseSeeds((*found)->m_value);
@@ -147,7 +147,7 @@
   seeds.insert(seeds.begin(), m_ownAddress);
   seeds.resize(std::min(seeds.size(), kMaxSeedsPerDomain));
   Result<PutOutcome> put =
-    m_platform.Put(key, nlohmann::json(seeds).dump(), version);
+    m_platform.Put(key, nlohmann::json(seeds).dump(), position);
   if (!put) {
     LogFailure(put.error());
   }
@@ -160,7 +160,7 @@
 ConfigWatcher::ReadConfig()
 {
   Result<FoundObject> found =
-    m_platform.Watch(kConfigHeadKey, m_lastHeadVersion, kWatchTimeout);
+    m_platform.Watch(kConfigHeadKey, m_lastHead, kWatchTimeout);
   if (!found) {
     LogFailure(found.error());
     return false;
@@ -182,8 +182,8 @@
     }
     m_callbacks.m_onDelta(std::move(*delta));
   }
-  // A stale read can return an older head; never move the version back.
-  m_lastHeadVersion = std::max(m_lastHeadVersion, (*found)->m_version);
+  // A stale read can return an older head; never move the position back.
+  m_lastHead = std::max(m_lastHead, (*found)->m_position);
   return true;
 }
 
--- a/packages/balancer/ConfigWatcher.h
+++ b/packages/balancer/ConfigWatcher.h
@@ -61,7 +61,7 @@
   WatcherControl m_control;
   KeyedStore m_platform;
   std::atomic<bool> m_isStopping{ false };
-  uint64_t m_lastHeadVersion = 0;
+  StorePosition m_lastHead;
   std::thread m_thread;
 };
 
--- a/packages/store/ConfigReader.h
+++ b/packages/store/ConfigReader.h
@@ -37,10 +37,10 @@
   return delta;
 }
 
-/** Reads the head and the version of its object; an empty head and version 0
- * before the first publish. */
+/** Reads the head and the position of its object; an empty head and an unknown
+ * position before the first publish. */
 template<ObjectStore Store>
-Result<std::pair<ConfigHead, uint64_t>>
+Result<std::pair<ConfigHead, StorePosition>>
 FetchHead(Store& aStore)
 {
   Result<FoundObject> found = aStore.Get(kConfigHeadKey);
@@ -48,13 +48,13 @@
     return tl::unexpected(found.error());
   }
   if (!*found) {
-    return std::pair<ConfigHead, uint64_t>();
+    return std::pair<ConfigHead, StorePosition>();
   }
   Result<ConfigHead> head = DecodeHead((*found)->m_value);
   if (!head) {
     return tl::unexpected(head.error());
   }
-  return std::pair(std::move(*head), (*found)->m_version);
+  return std::pair(std::move(*head), (*found)->m_position);
 }
 
 } // namespace bilberryfield
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Error.h"
+#include "StorePosition.h"
 #include "Time.h"
 
 #include <concepts>
@@ -10,11 +11,11 @@
 
 namespace bilberryfield {
 
-/** The value of an object and the version at which it was read. */
+/** The value of an object and the position of its last change. */
 struct StoredObject
 {
   std::string m_value;
-  uint64_t m_version = 0;
+  StorePosition m_position;
 
   bool operator==(const StoredObject&) const = default;
 };
@@ -26,25 +27,25 @@
 enum class PutOutcome : uint8_t
 {
   Stored,
-  Conflict, /**< The object's version differs from the expected one. */
+  Conflict, /**< The object's position differs from the expected one. */
 };
 
 /**
  * The platform's object API. A write whose call failed may still have taken
- * effect. Put with an expected version of 0 succeeds only if the object does
- * not exist.
+ * effect. Put with an unknown position succeeds only if the object does not
+ * exist.
  */
 template<typename Store>
 concept ObjectStore = requires(Store aStore,
                                const std::string& aKey,
                                const std::string& aValue,
-                               uint64_t aExpectedVersion)
+                               const StorePosition& aExpected)
 {
   {
     aStore.Get(aKey)
     } -> std::same_as<Result<FoundObject>>;
   {
-    aStore.Put(aKey, aValue, aExpectedVersion)
+    aStore.Put(aKey, aValue, aExpected)
     } -> std::same_as<Result<PutOutcome>>;
 };
 
--- a/packages/store/Publisher.h
+++ b/packages/store/Publisher.h
@@ -72,7 +72,7 @@
 Publish(Store& aStore, const PublishRequest& aRequest)
 {
   PublishResult result;
-  uint64_t baseVersion = 0;
+  StorePosition base;
   bool hasPlan = false;
   ConfigHead next;
   for (int i = 0; i < kMaxPublishAttempts; ++i) {
@@ -81,13 +81,13 @@
       result.m_detail = current.error().m_detail;
       continue;
     }
-    auto& [head, storedVersion] = *current;
+    auto& [head, position] = *current;
     if (const PublishRecord* own = FindPublish(head, aRequest.m_publishId)) {
       return {
         PublishOutcome::Accepted, own->m_version, own->m_changed, {}, {}
       };
     }
-    if (hasPlan && storedVersion > baseVersion) {
+    if (hasPlan && position > base) {
       result.m_outcome = PublishOutcome::LostRace;
       result.m_version = head.m_version;
       result.m_winner = head.m_history.front();
@@ -100,7 +100,7 @@
       }
       next = std::move(*planned);
       result.m_changed = next.m_history.front().m_changed;
-      baseVersion = storedVersion;
+      base = position;
       hasPlan = true;
     }
     Result<void> stored = StoreContents(aStore, next, aRequest);
@@ -108,10 +108,9 @@
       result.m_detail = stored.error().m_detail;
       continue;
     }
-    // The write is conditional on the version that the plan is based on, so a
+    // The write is conditional on the position that the plan is based on, so a
     // retry after a lost response cannot apply it twice.
-    Result<PutOutcome> put =
-      aStore.Put(kConfigHeadKey, EncodeHead(next), baseVersion);
+    Result<PutOutcome> put = aStore.Put(kConfigHeadKey, EncodeHead(next), base);
     if (put && *put == PutOutcome::Stored) {
       result.m_outcome = PublishOutcome::Accepted;
       result.m_version = next.m_version;
@@ -137,7 +136,7 @@
     Result<PutOutcome> put =
       aStore.Put(ContentKey(service.m_name, entry.m_contentHash),
                  EncodeContent(service),
-                 0);
+                 {});
     if (!put) {
       return tl::unexpected(put.error());
     }
--- a/test/FakeStore.h
+++ b/test/FakeStore.h
@@ -39,17 +39,18 @@
 
   Result<PutOutcome> Put(const std::string& aKey,
                          const std::string& aValue,
-                         uint64_t aExpectedVersion)
+                         const StorePosition& aExpected)
   {
     StoreFault fault = m_onCall();
     if (fault == StoreFault::Outage) {
       return Failure(Step::CallPlatform, "fake", "outage");
     }
     auto& versions = m_objects[aKey];
-    uint64_t current = versions.empty() ? 0 : versions.back().m_version;
-    bool isStored = current == aExpectedVersion;
+    StorePosition current =
+      versions.empty() ? StorePosition{} : versions.back().m_position;
+    bool isStored = current == aExpected;
     if (isStored) {
-      versions.push_back({ aValue, current + 1 });
+      versions.push_back({ aValue, { m_era, current.m_revision + 1 } });
     }
     if (fault == StoreFault::LostResponse) {
       return Failure(Step::CallPlatform, "fake", "response lost");
@@ -57,7 +58,24 @@
     return isStored ? PutOutcome::Stored : PutOutcome::Conflict;
   }
 
+  /** Keeps a copy of all objects, to which Restore goes back. */
+  void TakeCopy() { m_copy = m_objects; }
+
+  /** Goes back to the copy in a new era; revisions are given out again. */
+  void Restore()
+  {
+    m_objects = m_copy;
+    m_era += 1;
+    for (auto& [key, versions] : m_objects) {
+      for (StoredObject& object : versions) {
+        object.m_position.m_era = m_era;
+      }
+    }
+  }
+
 private:
+  uint64_t m_era = 1;
+  std::map<std::string, std::vector<StoredObject>> m_copy;
   std::map<std::string, std::vector<StoredObject>> m_objects;
 };
 
--- a/test/process/RestoredStore.cpp
+++ b/test/process/RestoredStore.cpp
@@ -214,13 +214,14 @@
   cr_assert(own.Put(key, "first", {}) == PutOutcome::Stored);
   cluster.CopyStore();
   auto replace = [&](KeyedStore& aStore, const std::string& aValue) {
-    return aStore.Put(key, aValue, aStore.Get(key).value()->m_version);
+    return aStore.Put(key, aValue, aStore.Get(key).value()->m_position);
   };
   cr_assert(replace(own, "lost") == PutOutcome::Stored);
   auto read = own.Get(key);
   cluster.RestoreStore();
   cr_assert(replace(other, "other") == PutOutcome::Stored);
-  cr_assert(own.Put(key, "own", read.value()->m_version) != PutOutcome::Stored);
+  cr_assert(own.Put(key, "own", read.value()->m_position) !=
+            PutOutcome::Stored);
   cr_assert_eq(other.Get(key).value()->m_value, "other");
 }
 
