Write a lost publish again and never give its version out twice

Operators: a publish that was accepted and in force was gone from the store after a restoration. The next publish got the same version, which every node ignored as not newer: the operator was told 'accepted', callers saw the older configuration.

A balancer that watches compares each head with the configuration in force and writes back what the head lacks, contents first, under the condition of the head's position. What was published since keeps its newer content. Each era has a range of versions of its own, so that a number is never given out twice and nodes of earlier builds, which compare bare numbers, stay right too. A publish that was planned in an earlier era is planned anew and not told as a lost race.

Not covered: a publish that no balancer had read before the store went away; two lost publishes of one service of which the balancers hold different ones while a third is published; a copy without any publish leaves a second key with the same id.

--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -255,7 +255,7 @@
   if (m_config.Apply(aDelta) != ApplyResult::Applied) {
     return;
   }
-  m_watcher.Control().m_currentVersion = aDelta.m_toVersion;
+  m_watcher.Control().m_config = m_config.Current();
   Log(LogLevel::Info,
       "config-in-force",
       { { "version", aDelta.m_toVersion },
--- a/packages/balancer/ConfigWatcher.cpp
+++ b/packages/balancer/ConfigWatcher.cpp
@@ -1,6 +1,5 @@
 #include "ConfigWatcher.h"
 
-#include "ConfigReader.h"
 #include "Log.h"
 
 #include <algorithm>
@@ -159,31 +158,81 @@
 bool
 ConfigWatcher::ReadConfig()
 {
+  // Taken before the head is read: the head then lacks a publish only if the
+  // store has lost it, and not because gossip was faster.
+  ConfigPointer own = m_control.m_config;
   Result<FoundObject> found =
     m_platform.Watch(kConfigHeadKey, m_lastHead, kWatchTimeout);
   if (!found) {
     LogFailure(found.error());
     return false;
   }
-  if (!*found) {
+  bool wasRestored =
+    m_lastHead.IsKnown() && m_platform.Era() > m_lastHead.m_era;
+  if (!*found && !wasRestored) {
     return true;
   }
-  Result<ConfigHead> head = DecodeHead((*found)->m_value);
-  if (!head) {
-    LogFailure(head.error());
+  auto current = FetchHead(m_platform);
+  if (!current) {
+    LogFailure(current.error());
     return false;
   }
-  uint64_t ownVersion = m_control.m_currentVersion;
-  if (head->m_version > ownVersion) {
-    Result<ConfigDelta> delta = FetchDelta(m_platform, *head, ownVersion);
-    if (!delta) {
-      LogFailure(delta.error());
-      return false;
-    }
-    m_callbacks.m_onDelta(std::move(*delta));
+  const auto& [head, position] = *current;
+  if (RestoreHead(head, *own, position)) {
+    return true;
+  }
+  if (!ApplyHead(head, *own)) {
+    return false;
   }
   // A stale read can return an older head; never move the position back.
-  m_lastHead = std::max(m_lastHead, (*found)->m_position);
+  m_lastHead = std::max(m_lastHead, position);
+  return true;
+}
+
+bool
+ConfigWatcher::ApplyHead(const ConfigHead& aHead, const ConfigSnapshot& aOwn)
+{
+  if (aHead.m_version <= aOwn.m_version) {
+    return true;
+  }
+  Result<ConfigDelta> delta = FetchDelta(m_platform, aHead, aOwn.m_version);
+  if (!delta) {
+    LogFailure(delta.error());
+    return false;
+  }
+  m_callbacks.m_onDelta(std::move(*delta));
+  return true;
+}
+
+bool
+ConfigWatcher::RestoreHead(const ConfigHead& aHead,
+                           const ConfigSnapshot& aOwn,
+                           const StorePosition& aPosition)
+{
+  auto restored = PlanRestore(aHead, aOwn, m_platform.Era());
+  if (!restored) {
+    return false;
+  }
+  for (const std::string& name : restored->m_clashes) {
+    Log(LogLevel::Error,
+        "lost-service-not-restored",
+        { { "service", name },
+          { "detail", "another service was published at its address" } });
+  }
+  Result<PutOutcome> put = StoreRestored(m_platform, *restored, aPosition);
+  Log(LogLevel::Warning,
+      "config-restored",
+      { { "version", restored->m_head.m_version },
+        { "stored_version", aHead.m_version },
+        { "era", m_platform.Era() },
+        { "services", restored->m_contents.size() },
+        { "outcome",
+          !put                         ? put.error().m_detail
+          : *put == PutOutcome::Stored ? "stored"
+                                       : "another node was first" } });
+  if (!put) {
+    Sleep(kRetryDelay);
+  }
   return true;
 }
 
--- a/packages/balancer/ConfigWatcher.h
+++ b/packages/balancer/ConfigWatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ConfigState.h"
+#include "ConfigRestore.h"
 #include "KeyedStore.h"
 
 #include <atomic>
@@ -21,15 +21,16 @@
 /** Inputs of a ConfigWatcher: set by the event loop, read by its thread. */
 struct WatcherControl
 {
-  /** Configuration version in force at this node. */
-  std::atomic<uint64_t> m_currentVersion{ 0 };
+  /** Configuration in force at this node. */
+  std::atomic<ConfigPointer> m_config{ std::make_shared<ConfigSnapshot>() };
   /** True if this node is one of the few in its domain that watch. */
   std::atomic<bool> m_shouldWatch{ true };
 };
 
 /**
  * Reads the configuration and the seed addresses from the platform and
- * registers this balancer's address there, on a background thread.
+ * registers this balancer's address there, on a background thread. After a
+ * restoration of the store it writes again what the store has lost of both.
  */
 class ConfigWatcher
 {
@@ -53,6 +54,12 @@
   bool ReadSeeds();
   bool RegisterOwnAddress();
   bool ReadConfig();
+  bool ApplyHead(const ConfigHead& aHead, const ConfigSnapshot& aOwn);
+  /** Writes again what the store has lost of the configuration in force;
+   * returns true if the head has to be read again. */
+  bool RestoreHead(const ConfigHead& aHead,
+                   const ConfigSnapshot& aOwn,
+                   const StorePosition& aPosition);
   void Sleep(Duration aTime);
 
   std::string m_domain;
--- a/packages/store/ConfigHead.cpp
+++ b/packages/store/ConfigHead.cpp
@@ -2,6 +2,7 @@
 
 #include "Rendezvous.h"
 
+#include <algorithm>
 #include <iomanip>
 
 namespace bilberryfield {
@@ -10,6 +11,9 @@
 
 using nlohmann::json;
 
+/** More versions than operators publish between two restorations. */
+constexpr uint64_t kVersionsPerEra = 1'000'000'000;
+
 json
 ToJson(const PublishRecord& aRecord)
 {
@@ -30,6 +34,36 @@
 
 } // namespace
 
+const PublishRecord*
+FindPublish(const ConfigHead& aHead, const std::string& aPublishId)
+{
+  for (const PublishRecord& record : aHead.m_history) {
+    if (record.m_publishId == aPublishId) {
+      return &record;
+    }
+  }
+  return nullptr;
+}
+
+void
+AddRecord(ConfigHead& aHead, PublishRecord aRecord)
+{
+  aHead.m_history.insert(aHead.m_history.begin(), std::move(aRecord));
+  if (aHead.m_history.size() > kMaxHistory) {
+    aHead.m_history.resize(kMaxHistory);
+  }
+}
+
+// Nodes compare versions as numbers, so a number must not be given out again
+// although the head that had it is gone.
+uint64_t
+NextVersion(const ConfigHead& aHead, uint64_t aEra)
+{
+  constexpr uint64_t kFirstEra = 1;
+  uint64_t restorations = aEra > kFirstEra ? aEra - kFirstEra : 0;
+  return std::max(aHead.m_version, restorations * kVersionsPerEra) + 1;
+}
+
 std::string
 EncodeHead(const ConfigHead& aHead)
 {
--- a/packages/store/ConfigHead.h
+++ b/packages/store/ConfigHead.h
@@ -20,6 +20,9 @@
   bool operator==(const PublishRecord&) const = default;
 };
 
+/** Records that a head keeps; earlier ones are dropped. */
+inline constexpr size_t kMaxHistory = 64;
+
 /** A service's entry in the head, which refers to its stored content. */
 struct HeadEntry
 {
@@ -46,6 +49,22 @@
   bool operator==(const ConfigHead&) const = default;
 };
 
+/** Returns the record of a publish id in the head's history, or nullptr. */
+const PublishRecord*
+FindPublish(const ConfigHead& aHead, const std::string& aPublishId);
+
+/** Puts a record first in the head's history, which is kept short. */
+void
+AddRecord(ConfigHead& aHead, PublishRecord aRecord);
+
+/**
+ * The version that follows the head's in a store of an era. Each era has a
+ * range of its own, so it lies above all versions that a restoration may have
+ * lost.
+ */
+uint64_t
+NextVersion(const ConfigHead& aHead, uint64_t aEra);
+
 /** Encodes a head as JSON text. */
 std::string
 EncodeHead(const ConfigHead& aHead);
--- a/packages/store/ObjectStore.h
+++ b/packages/store/ObjectStore.h
@@ -33,7 +33,7 @@
 /**
  * The platform's object API. A write whose call failed may still have taken
  * effect. Put with an unknown position succeeds only if the object does not
- * exist.
+ * exist. Era returns the latest era that an answer has shown, or 0.
  */
 template<typename Store>
 concept ObjectStore = requires(Store aStore,
@@ -47,6 +47,9 @@
   {
     aStore.Put(aKey, aValue, aExpected)
     } -> std::same_as<Result<PutOutcome>>;
+  {
+    aStore.Era()
+    } -> std::same_as<uint64_t>;
 };
 
 } // namespace bilberryfield
--- a/packages/store/Publisher.cpp
+++ b/packages/store/Publisher.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr size_t kMaxHistory = 64;
-
 PublishResult
 MakeRejection(const ConfigHead& aHead, std::string aDetail)
 {
@@ -52,22 +50,13 @@
 
 } // namespace
 
-const PublishRecord*
-FindPublish(const ConfigHead& aHead, const std::string& aPublishId)
-{
-  for (const PublishRecord& record : aHead.m_history) {
-    if (record.m_publishId == aPublishId) {
-      return &record;
-    }
-  }
-  return nullptr;
-}
-
 tl::expected<ConfigHead, PublishResult>
-PlanPublish(const ConfigHead& aHead, const PublishRequest& aRequest)
+PlanPublish(const ConfigHead& aHead,
+            const PublishRequest& aRequest,
+            uint64_t aEra)
 {
   ConfigHead next = aHead;
-  next.m_version += 1;
+  next.m_version = NextVersion(aHead, aEra);
   PublishRecord record{
     next.m_version, aRequest.m_publishId, aRequest.m_publisher, {}
   };
@@ -92,10 +81,7 @@
     return tl::unexpected(
       PublishResult{ PublishOutcome::Unchanged, aHead.m_version, {}, {}, {} });
   }
-  next.m_history.insert(next.m_history.begin(), std::move(record));
-  if (next.m_history.size() > kMaxHistory) {
-    next.m_history.resize(kMaxHistory);
-  }
+  AddRecord(next, std::move(record));
   return next;
 }
 
--- a/packages/store/Publisher.h
+++ b/packages/store/Publisher.h
@@ -50,14 +50,12 @@
   std::string m_detail;
 };
 
-/** Builds the head that results from a request, or the outcome when the request
- * is rejected or changes nothing. */
+/** Builds the head that results from a request to a store of an era, or the
+ * outcome when the request is rejected or changes nothing. */
 tl::expected<ConfigHead, PublishResult>
-PlanPublish(const ConfigHead& aHead, const PublishRequest& aRequest);
-
-/** Returns the record of a publish id in the head's history, or nullptr. */
-const PublishRecord*
-FindPublish(const ConfigHead& aHead, const std::string& aPublishId);
+PlanPublish(const ConfigHead& aHead,
+            const PublishRequest& aRequest,
+            uint64_t aEra);
 
 /** Maximum number of attempts to read, write and verify the head. */
 inline constexpr int kMaxPublishAttempts = 8;
@@ -87,6 +85,10 @@
         PublishOutcome::Accepted, own->m_version, own->m_changed, {}, {}
       };
     }
+    // A plan of an earlier era is made anew: no other publish has won.
+    if (base.IsKnown() && position.m_era != base.m_era) {
+      hasPlan = false;
+    }
     if (hasPlan && position > base) {
       result.m_outcome = PublishOutcome::LostRace;
       result.m_version = head.m_version;
@@ -94,7 +96,7 @@
       return result;
     }
     if (!hasPlan) {
-      auto planned = PlanPublish(head, aRequest);
+      auto planned = PlanPublish(head, aRequest, aStore.Era());
       if (!planned) {
         return planned.error();
       }
--- a/test/FakeStore.h
+++ b/test/FakeStore.h
@@ -58,6 +58,8 @@
     return isStored ? PutOutcome::Stored : PutOutcome::Conflict;
   }
 
+  uint64_t Era() const { return m_era; }
+
   /** Keeps a copy of all objects, to which Restore goes back. */
   void TakeCopy() { m_copy = m_objects; }
 
