Register a balancer's address again after a restoration

A balancer that had registered just before a restoration was missing from the addresses that new balancers start from, for as long as it ran: a confirmed registration counted as there for ever.

RestoredStore::LostPeerAddressesAreWrittenAgain failed before and passes. The registration now counts for the era of the store that confirmed it. Balancers that do not watch see a new era with their next poll, up to 60 s later.

--- a/packages/balancer/ConfigWatcher.cpp
+++ b/packages/balancer/ConfigWatcher.cpp
@@ -83,11 +83,14 @@
 ConfigWatcher::Run()
 {
   bool hasSeeds = false;
-  bool isRegistered = false;
+  std::optional<uint64_t> registeredEra;
   int skippedPolls = 0;
   while (!m_isStopping) {
     hasSeeds = hasSeeds || ReadSeeds();
-    isRegistered = isRegistered || RegisterOwnAddress();
+    // A restoration of the store may have lost the registration.
+    if (registeredEra != m_platform.Era()) {
+      registeredEra = RegisterOwnAddress();
+    }
     bool shouldPoll =
       m_control.m_shouldWatch || ++skippedPolls >= kMaxSkippedPolls;
     if (!shouldPoll) {
@@ -125,14 +128,14 @@
   return true;
 }
 
-bool
+std::optional<uint64_t>
 ConfigWatcher::RegisterOwnAddress()
 {
   std::string key = kSeedPrefix + m_domain;
   Result<FoundObject> found = m_platform.Get(key);
   if (!found) {
     LogFailure(found.error());
-    return false;
+    return std::nullopt;
   }
   StorePosition position = *found ? (*found)->m_position : StorePosition{};
   std::vector<std::string> seeds;
@@ -140,7 +143,7 @@
     seeds = ParseSeeds((*found)->m_value);
   }
   if (std::find(seeds.begin(), seeds.end(), m_ownAddress) != seeds.end()) {
-    return true;
+    return (*found)->m_position.m_era;
   }
   // Newest addresses come first; truncation removes those of replaced VMs.
   seeds.insert(seeds.begin(), m_ownAddress);
@@ -152,7 +155,7 @@
   }
   // Even after a success, the next iteration reads the list again: it confirms
   // the write and resolves a conflict or a lost response.
-  return false;
+  return std::nullopt;
 }
 
 bool
--- a/packages/balancer/ConfigWatcher.h
+++ b/packages/balancer/ConfigWatcher.h
@@ -52,7 +52,9 @@
 private:
   void Run();
   bool ReadSeeds();
-  bool RegisterOwnAddress();
+  /** Returns the era of the store that has the own address; nullopt while that
+   * is not confirmed. */
+  std::optional<uint64_t> RegisterOwnAddress();
   bool ReadConfig();
   bool ApplyHead(const ConfigHead& aHead, const ConfigSnapshot& aOwn);
   /** Writes again what the store has lost of the configuration in force;
