Send no flows to an agent that only the store's copy names

An agent that appears with the first list of another era now gets flows only after it has reported; agents that are new in later lists of that era are used at once, as before. Found by reading; the test RestoredRevisions::AgentThatOnlyTheCopyNamesGetsNoFlowsBeforeItReports passes with the change, it was not run without it.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -27,12 +27,17 @@
   if (aPosition <= m_position) {
     return;
   }
+  // The first list after a restoration is a copy of the past. An agent that
+  // only it names may have left since.
+  bool isFromCopy = m_position.IsKnown() && aPosition.m_era != m_position.m_era;
   m_position = aPosition;
   for (auto& [ip, agent] : m_agents) {
     agent.m_isListed = false;
   }
   for (const AgentEntry& entry : aEntries) {
-    Upsert(aNow, entry).m_isListed = true;
+    AgentState& agent = Upsert(aNow, entry);
+    agent.m_isListed = true;
+    agent.m_mustReport = agent.m_mustReport || isFromCopy;
   }
 }
 
@@ -225,7 +230,7 @@
 bool
 AgentList::IsAwaitingFirstReport(TimePoint aNow, const AgentState& aAgent) const
 {
-  return !aAgent.m_lastReport && aAgent.m_isListed &&
+  return !aAgent.m_lastReport && aAgent.m_isListed && !aAgent.m_mustReport &&
          aNow - aAgent.m_addedAt < kFirstReportTimeout;
 }
 
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -43,6 +43,8 @@
   /** The agent is in this balancer's failure domain. */
   bool m_isSameDomain = false;
   bool m_isListed = false;
+  /** Gets no flows before its first report. */
+  bool m_mustReport = false;
   TimePoint m_addedAt;
   /** Time of the last report; empty before the first one. */
   std::optional<TimePoint> m_lastReport;
--- a/test/correctness/RestoredRevisions.cpp
+++ b/test/correctness/RestoredRevisions.cpp
@@ -63,6 +63,20 @@
   cr_assert_null(agents.Find(0x0A010001));
 }
 
+// Its VM may be gone: the copy is older than the removal of its entry.
+Test(RestoredRevisions, AgentThatOnlyTheCopyNamesGetsNoFlowsBeforeItReports)
+{
+  AgentList agents("a");
+  agents.SetListed(kStart, { 1, 60 }, {});
+  agents.SetListed(kStart, { 2, 40 }, { EntryAt(0x0A010001) });
+  cr_assert(agents.Candidates(kStart, "desk", {}).empty());
+  agents.OnReport(kStart, ReadyReport({ 0x0A010001, 8000 }, "a"));
+  cr_assert_eq(agents.Candidates(kStart, "desk", {}).size(), 1);
+  agents.SetListed(
+    kStart, { 2, 41 }, { EntryAt(0x0A010001), EntryAt(0x0A010002) });
+  cr_assert_eq(agents.Candidates(kStart, "desk", {}).size(), 2);
+}
+
 // A balancer that was paused during the restoration still announces the list of
 // before.
 Test(RestoredRevisions, AgentsPassOnTheLaterEra)
