--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -202,8 +202,10 @@
     bool isDecided =
       search.m_trying.size() == 1 && !search.m_heldPackets.empty();
     uint32_t last = search.m_trying.front();
-    return End(
-      aNow, aFound, isDecided ? SearchAction::Found : SearchAction::Wait, last);
+    return End(aNow,
+               aFound,
+               isDecided ? SearchAction::Found : SearchAction::GiveUp,
+               last);
   }
   if (since > kQueryCandidatesAfter && !search.m_wereCandidatesQueried) {
     search.m_wereCandidatesQueried = true;
--- a/test/correctness/FlowSearch.cpp
+++ b/test/correctness/FlowSearch.cpp
@@ -144,12 +144,16 @@
   search.Answer(Milliseconds(1), 2, FlowOwnership::Possible);
   search.Answer(Milliseconds(2), 3, FlowOwnership::No);
   search.m_searches.HoldPacket(FlowNumber(1), kPacket);
+  SearchAction last = SearchAction::Wait;
   for (int i = 1; i < 60; ++i) {
     for (const SearchStep& step :
          search.m_searches.OnTick(kStart + i * Milliseconds(20))) {
       cr_assert(step.m_action != SearchAction::Found);
+      last = step.m_action;
     }
   }
+  // The step makes the dropped packets visible in the log and the metrics.
+  cr_assert(last == SearchAction::GiveUp);
   cr_assert_not(search.m_searches.Contains(FlowNumber(1)));
 }
 
