--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -213,6 +213,7 @@
 void
 FlowAgent::RejectQueued(QueuedSyn aSyn)
 {
+  m_rejectedSyns += 1;
   bool isLast = aSyn.m_header.RetransmissionCount() >= kMaxRetransmissions;
   m_dequeuedSyns.push_back(
     { { isLast ? FlowAgentAction::Reset : FlowAgentAction::Drop,
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -136,6 +136,8 @@
   }
   /** Number of flows whose SYN was sent to the server. */
   uint64_t AdmittedFlows() const { return m_admittedFlows; }
+  /** Number of queued SYN packets that were evicted or expired. */
+  uint64_t RejectedSyns() const { return m_rejectedSyns; }
 
   /** Number of flows in the flow table, closed ones included. */
   size_t FlowCount() const { return m_flows.Size(); }
@@ -225,6 +227,7 @@
   std::array<uint64_t, static_cast<size_t>(ReturnReason::Count)>
     m_returnCounts{};
   uint64_t m_admittedFlows = 0;
+  uint64_t m_rejectedSyns = 0;
   std::deque<BusyEntry> m_busyEntries;
   /** Admitted flows, until the caller's next packet is due. */
   std::deque<BusyEntry> m_unconfirmedFlows;
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -222,6 +222,7 @@
     kReturnReasonNames,
     [this](ReturnReason aReason) { return m_core.ReturnCount(aReason); });
   text.Add("bilberry_openings_total", m_core.AdmittedFlows());
+  text.Add("bilberry_queued_openings_rejected_total", m_core.RejectedSyns());
   text.Add("bilberry_flows", m_core.FlowCount());
   text.Add("bilberry_busy_flows", m_core.BusyFlows());
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
