--- a/packages/balancer/BalancerNode.cpp
+++ b/packages/balancer/BalancerNode.cpp
@@ -347,9 +347,10 @@
 void
 BalancerNode::BeginShutdown()
 {
-  m_isDraining = true;
+  // In this order: a tick that sees the flag compares with the start time.
   m_hub.Post([this] {
     m_drainStart = m_hub.Now();
+    m_isDraining = true;
     m_membership->SetSelfState(MemberState::Draining);
     Log(LogLevel::Info,
         "drain-started",
