--- a/packages/balancer/ConfigWatcher.cpp
+++ b/packages/balancer/ConfigWatcher.cpp
@@ -24,7 +24,13 @@
   if (!list.is_array()) {
     return {};
   }
-  return list.get<std::vector<std::string>>();
+  std::vector<std::string> seeds;
+  for (const nlohmann::json& item : list) {
+    if (item.is_string()) {
+      seeds.push_back(item.get<std::string>());
+    }
+  }
+  return seeds;
 }
 
 void
