--- a/test/fuzz/WireFormats.cpp
+++ b/test/fuzz/WireFormats.cpp
@@ -181,9 +181,18 @@
   table.m_routes[address] = { "good", address, { { "desk", 1 } }, 1, {} };
   nlohmann::json config = EncodeOperatorConfig(table);
   config["routes"].push_back({ { "name", "bad" }, { "host", "nowhere" } });
+  for (const char* field : { "priority", "latency-slo-ms" }) {
+    config["routes"].push_back(config["routes"][0]);
+    config["routes"].back()["host"] = "198.18.0.9";
+    config["routes"].back()[field] = 1e300;
+  }
+  config["routes"].push_back(config["routes"][0]);
+  config["routes"].back()["host"] = "198.18.0.9";
+  config["routes"].back()["priority"] = uint64_t{ 1 } << 32U;
   Result<OperatorConfig> decoded = DecodeOperatorConfig(config.dump());
   cr_assert(decoded.has_value());
-  cr_assert_eq(decoded->m_routeErrors.size(), 1);
+  cr_assert_eq(decoded->m_routeErrors.size(), 4);
+  cr_assert_eq(decoded->m_table.m_routes.size(), 1);
   cr_assert(decoded->m_table.Find(address) != nullptr);
 }
 
