Soak with restorations of the store, and keep the logs of a broken seed

It overlaps with pauses, kills, link faults and lost answers. At the end every agent has to be listed. A seed that breaks a promise keeps the settings and logs of all processes, one log for each start, and tells the start on their clock.

--- a/standins/FaultSoak.cpp
+++ b/standins/FaultSoak.cpp
@@ -17,6 +17,11 @@
 ABSL_FLAG(int, balancers, 3, "Balancers.");
 ABSL_FLAG(int, servers, 5, "Backend servers, each with an agent.");
 ABSL_FLAG(int, gap_ms, 10, "Time between two new flows.");
+ABSL_FLAG(bool,
+          restorations,
+          false,
+          "Also restores the store from copies. Without it a seed draws the "
+          "same troubles as before there were restorations.");
 
 namespace {
 
@@ -44,9 +49,10 @@
   NewRoutes,
   Reload,
   CallersLinks,
+  RestoreStore,
 };
 
-inline constexpr NameTable<Trouble, 12> kTroubleNames = { {
+inline constexpr NameTable<Trouble, 13> kTroubleNames = { {
   { Trouble::KillBalancer, "kill-balancer" },
   { Trouble::StopBalancer, "stop-balancer" },
   { Trouble::PauseBalancer, "pause-balancer" },
@@ -59,14 +65,30 @@
   { Trouble::NewRoutes, "new-routes" },
   { Trouble::Reload, "reload" },
   { Trouble::CallersLinks, "callers-links" },
+  { Trouble::RestoreStore, "restore-store" },
 } };
 
+size_t
+TroubleCount()
+{
+  bool withRestorations = absl::GetFlag(FLAGS_restorations);
+  return kTroubleNames.size() - (withRestorations ? 0 : 1);
+}
+
+int64_t
+WallMs()
+{
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
 /** One seed's run. */
 class Soak
 {
 public:
   explicit Soak(uint64_t aSeed)
-    : m_random(aSeed)
+    : m_seed(aSeed)
+    , m_random(aSeed)
     , m_cluster(absl::GetFlag(FLAGS_build),
                 absl::GetFlag(FLAGS_balancers),
                 absl::GetFlag(FLAGS_servers))
@@ -87,10 +109,14 @@
       return { "not all balancers became ready" };
     }
     m_start = EventLoop::Now();
+    Say("starts at " + std::to_string(WallMs()) + " of the logs' time_ms");
     m_callers->Start(Milliseconds(absl::GetFlag(FLAGS_gap_ms)));
     Disturb(m_start + Seconds(absl::GetFlag(FLAGS_seconds_each)));
     Calm();
     CheckEnd();
+    if (!m_broken.empty()) {
+      KeepLogs();
+    }
     return m_broken;
   }
 
@@ -135,7 +161,7 @@
     TimePoint next = EventLoop::Now();
     while (EventLoop::Now() < aEnd) {
       if (EventLoop::Now() >= next) {
-        OneTrouble(static_cast<Trouble>(Draw(kTroubleNames.size())));
+        OneTrouble(static_cast<Trouble>(Draw(TroubleCount())));
         next = EventLoop::Now() + DrawTime(50, 600);
       }
       Step();
@@ -239,6 +265,8 @@
         return Reload();
       case Trouble::CallersLinks:
         return DisturbCallers(time);
+      case Trouble::RestoreStore:
+        return RestoreStore();
     }
   }
 
@@ -316,6 +344,34 @@
     Later(aFor, [this] { m_cluster.Link().SetMode(LinkMode::Pass); });
   }
 
+  // What is written between the copy and the restoration is lost. The link is
+  // down meanwhile or not, so that watches are cut or find the new era alone.
+  void RestoreStore()
+  {
+    constexpr int kMaxAgeMs = 3000;
+    Duration age = DrawTime(0, kMaxAgeMs);
+    bool isAway = Draw(2) == 0;
+    Say("copy of the store");
+    m_cluster.CopyStore();
+    Later(age, [this, isAway] {
+      Say("restore-store");
+      if (isAway) {
+        m_cluster.Link().SetMode(LinkMode::Reset);
+        Later(DrawTime(0, 1000),
+              [this] { m_cluster.Link().SetMode(LinkMode::Pass); });
+      }
+      m_cluster.RestoreStore();
+    });
+  }
+
+  void KeepLogs()
+  {
+    std::filesystem::path folder = absl::GetFlag(FLAGS_build);
+    folder /= "soak-logs-" + std::to_string(m_seed);
+    m_cluster.KeepLogs(folder);
+    Say("logs kept in " + folder.string());
+  }
+
   void StoreNewRoutes()
   {
     Say("new-routes");
@@ -378,6 +434,11 @@
         Break(who + " does not have the newest configuration");
       }
     }
+    size_t listed = m_cluster.ListedAgents().size();
+    if (listed != m_servers.size()) {
+      Break(std::to_string(listed) + " of " + std::to_string(m_servers.size()) +
+            " agents are listed at the end");
+    }
     FlowTally tally = m_callers->Stop();
     for (const FailedFlow& flow : m_callers->Failed()) {
       Break("flow " + flow.m_flow + " " + flow.m_end + ", opened at " +
@@ -393,6 +454,7 @@
               << std::endl;
   }
 
+  uint64_t m_seed;
   std::mt19937_64 m_random;
   FlowCluster m_cluster;
   std::optional<FlowCallers> m_callers;
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -289,11 +289,27 @@
   return twice;
 }
 
+void
+FlowCluster::KeepLogs(const std::filesystem::path& aFolder) const
+{
+  std::filesystem::remove_all(aFolder);
+  std::filesystem::copy(
+    m_folder, aFolder, std::filesystem::copy_options::recursive);
+}
+
+// Each start has a log of its own, so that no restart overwrites what the
+// process did before.
+std::string
+FlowCluster::LogName(const std::string& aName)
+{
+  return aName + "-" + std::to_string(m_starts++);
+}
+
 Process
 FlowCluster::RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp)
 {
   std::string path = WriteSettings(aName, SettingsText(aName, aRole, aIp));
-  return Run(aName,
+  return Run(LogName(aName),
              { m_build + "/packages/control/bilberryd", "--settings=" + path });
 }
 
@@ -320,10 +336,8 @@
     return ToText(Endpoint{ kServerNet + static_cast<uint32_t>(aIndex),
                             static_cast<uint16_t>(m_port + aOffset) });
   };
-  // A log of its own for each start, since RunTwice reads all of them.
-  std::string name =
-    "server-" + std::to_string(aIndex) + "-" + std::to_string(m_serverStarts++);
-  m_servers[aIndex] = Run(name,
+  std::string name = "server-" + std::to_string(aIndex);
+  m_servers[aIndex] = Run(LogName(name),
                           { m_build + "/standins/FlowServerStandIn",
                             "--listen=" + at(kApp),
                             "--outbound=" + at(kOutbound),
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -63,6 +63,10 @@
   /** Requests that servers ran more than once, by their flows. */
   std::vector<std::string> RunTwice() const;
 
+  /** Copies the settings and logs of all processes to a folder, in place of
+   * what is there. */
+  void KeepLogs(const std::filesystem::path& aFolder) const;
+
   /** Address of the store itself, past the link. */
   const std::string& StoreAddress() const { return m_storeAddress; }
   std::vector<FabricTarget> Targets() const;
@@ -74,6 +78,7 @@
 private:
   Process Run(const std::string& aName,
               const std::vector<std::string>& aCommand);
+  std::string LogName(const std::string& aName);
   Process RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp);
   bool StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst);
   std::string WriteSettings(const std::string& aName, const std::string& aText);
@@ -86,7 +91,7 @@
   uint16_t m_port = 0;
   std::string m_storeAddress;
   uint64_t m_version = 0;
-  int m_serverStarts = 0;
+  int m_starts = 0;
   HttpClient m_client;
   std::optional<Process> m_store;
   std::optional<StoreLink> m_link;
--- a/test/process/FaultSoak.cpp
+++ b/test/process/FaultSoak.cpp
@@ -11,14 +11,15 @@
 
 // Ends with 0 when no promise was broken.
 int
-EndOfSeed(uint64_t aSeed)
+EndOfSeed(uint64_t aSeed, const std::vector<std::string>& aFlags = {})
 {
   std::string folder = BuildFolder();
   std::string log = folder + "/fault-soak-" + std::to_string(aSeed) + ".log";
-  Result<Process> soak = Process::Start({ folder + "/standins/FaultSoak",
-                                          "--build=" + folder,
-                                          "--seed=" + std::to_string(aSeed) },
-                                        log);
+  std::vector<std::string> command = { folder + "/standins/FaultSoak",
+                                       "--build=" + folder,
+                                       "--seed=" + std::to_string(aSeed) };
+  command.insert(command.end(), aFlags.begin(), aFlags.end());
+  Result<Process> soak = Process::Start(command, log);
   cr_assert(soak.has_value());
   return soak->Wait();
 }
@@ -44,3 +45,14 @@
 {
   cr_assert_eq(EndOfSeed(70411), 0);
 }
+
+// Restorations of the store overlap with pauses, lost links and restarts.
+Test(FaultSoak, Seed25WithRestorations)
+{
+  cr_assert_eq(EndOfSeed(25, { "--restorations" }), 0);
+}
+
+Test(FaultSoak, Seed26WithRestorations)
+{
+  cr_assert_eq(EndOfSeed(26, { "--restorations" }), 0);
+}
