Renew a watch of the agents that peers show to be silent

Cause: a watch that waits on a connection which stays open and carries nothing counted as working for up to 28 s, so the newer list that agents reported was never asked for.

--- a/packages/flow/PeerVersions.cpp
+++ b/packages/flow/PeerVersions.cpp
@@ -55,4 +55,19 @@
   return holder;
 }
 
+bool
+PeerVersions::IsWatchOverdue(TimePoint aNow,
+                             const StorePosition& aOwn,
+                             Duration aBatchDelay)
+{
+  if (m_overdueAt && aNow - *m_overdueAt < kRenewInterval) {
+    return false;
+  }
+  if (!IsDue(aNow - aBatchDelay, m_agents, aOwn)) {
+    return false;
+  }
+  m_overdueAt = aNow;
+  return true;
+}
+
 } // namespace bilberryfield
--- a/packages/flow/PeerVersions.h
+++ b/packages/flow/PeerVersions.h
@@ -32,10 +32,21 @@
    * newer and kStoreGracePeriod has passed; at most once per kRetryInterval. */
   std::optional<Endpoint> SelectPeer(TimePoint aNow, const LocalVersions& aOwn);
 
+  /**
+   * True if an agent list that is newer than aOwn was reported so long ago that
+   * the store's watch would have delivered it, if it worked. aBatchDelay is the
+   * delay between two watches. At most once per kRenewInterval.
+   */
+  bool IsWatchOverdue(TimePoint aNow,
+                      const StorePosition& aOwn,
+                      Duration aBatchDelay);
+
   /** Time allowed for the store's watch to deliver a reported version. */
   static constexpr Duration kStoreGracePeriod = Milliseconds(400);
   /** Minimum interval between two selections. */
   static constexpr Duration kRetryInterval = Milliseconds(500);
+  /** Minimum interval between two renewals of a watch. */
+  static constexpr Duration kRenewInterval = Seconds(2);
 
 private:
   template<typename Version>
@@ -58,6 +69,7 @@
   Newest<RoutesVersion> m_routes;
   Newest<StorePosition> m_agents;
   std::optional<TimePoint> m_selectedAt;
+  std::optional<TimePoint> m_overdueAt;
 };
 
 } // namespace bilberryfield
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -271,6 +271,11 @@
 {
   TimePoint now = EventLoop::Now();
   LocalVersions own = CurrentVersions();
+  Duration batchDelay = BatchDelay(m_core.Agents().All().size());
+  if (own.m_isAgentListWatched &&
+      m_peerVersions.IsWatchOverdue(now, own.m_agents, batchDelay)) {
+    m_agentsWatcher.Renew();
+  }
   if (std::optional<Endpoint> peer = m_peerVersions.SelectPeer(now, own)) {
     return m_peerSync.FetchFrom(*peer, own);
   }
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -4,6 +4,7 @@
 #include "StoreWatchTiming.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bilberryfield {
 
@@ -134,7 +135,23 @@
 Duration
 StoreWatcher::NextWatchTimeout()
 {
-  return m_consecutiveFailures > 0 ? kResumeTimeout : m_watchTimeout();
+  bool isResumed = m_consecutiveFailures > 0 || m_isRenewed;
+  return isResumed ? kResumeTimeout : m_watchTimeout();
+}
+
+void
+StoreWatcher::Renew()
+{
+  if (!IsConnected()) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "store-watch-renewed",
+      { { "kind", m_kind },
+        { "era", m_position.m_era },
+        { "revision", m_position.m_revision } });
+  m_isRenewed = true;
+  Watch();
 }
 
 void
@@ -144,6 +161,7 @@
     return RetryLater(aChanges.error(), &StoreWatcher::Watch);
   }
   OnSuccess();
+  bool wasRenewed = std::exchange(m_isRenewed, false);
   const StorePosition& answered = aChanges->m_position;
   m_era = std::max(m_era, answered.m_era);
   if (answered.m_era != m_position.m_era) {
@@ -161,11 +179,12 @@
       m_objects[name] = std::move(change.m_object);
     }
   }
-  if (aChanges->m_changes.empty()) {
-    return Watch();
+  bool isUnchanged = aChanges->m_changes.empty();
+  // After a renewal the reader learns that its list is current up to here.
+  if (!isUnchanged || wasRenewed) {
+    m_onChange(m_objects, m_position);
   }
-  m_onChange(m_objects, m_position);
-  ScheduleNextWatch();
+  isUnchanged ? Watch() : ScheduleNextWatch();
 }
 
 // The delay batches changes that occur in quick succession into one call.
--- a/packages/flownode/StoreWatcher.h
+++ b/packages/flownode/StoreWatcher.h
@@ -54,6 +54,10 @@
    * another call of this process has shown. */
   void OnStoreRestored(uint64_t aEra);
 
+  /** Replaces the watch in progress by one that is answered at once. For a
+   * connection that no longer carries anything although it is open. */
+  void Renew();
+
   /** True once a listing has succeeded and while the last call succeeded. */
   bool IsConnected() const
   {
@@ -99,6 +103,8 @@
   /** Number of the call in progress; answers to earlier ones are ignored. */
   uint64_t m_callNumber = 0;
   bool m_isListing = false;
+  /** The next answer is the one of a renewed watch. */
+  bool m_isRenewed = false;
   uint32_t m_consecutiveFailures = 0;
   /** The next watch waits for longer than the minimum delay. */
   bool m_isWatchDelayed = false;
--- a/test/correctness/VersionsFromPeers.cpp
+++ b/test/correctness/VersionsFromPeers.cpp
@@ -64,3 +64,22 @@
   versions.OnReport(kStart, {}, { { 2, 41 }, kOtherHolder });
   cr_assert(versions.SelectPeer(later, own) == kOtherHolder);
 }
+
+// A connection can stay open and carry nothing, so that a watch that seems to
+// work delivers nothing until its timeout.
+Test(VersionsFromPeers, ShowThatTheStoreWatchIsSilent)
+{
+  constexpr Duration kBatchDelay = Milliseconds(150);
+  PeerVersions versions;
+  versions.OnReport(kStart, {}, { { 1, 40 }, kHolder });
+  StorePosition own{ 1, 39 };
+  TimePoint due = kStart + PeerVersions::kStoreGracePeriod + kBatchDelay;
+  TimePoint early = due - Milliseconds(1);
+  cr_assert_not(versions.IsWatchOverdue(early, own, kBatchDelay));
+  cr_assert_not(versions.IsWatchOverdue(due, { 1, 40 }, kBatchDelay));
+  cr_assert_not(versions.IsWatchOverdue(due, { 2, 1 }, kBatchDelay));
+  cr_assert(versions.IsWatchOverdue(due, own, kBatchDelay));
+  cr_assert_not(versions.IsWatchOverdue(due, own, kBatchDelay));
+  cr_assert(versions.IsWatchOverdue(
+    due + PeerVersions::kRenewInterval, own, kBatchDelay));
+}
--- a/test/process/UnresponsiveStore.cpp
+++ b/test/process/UnresponsiveStore.cpp
@@ -1,5 +1,8 @@
+#include "AgentEntryCodec.h"
 #include "BuildFolder.h"
 #include "FlowCluster.h"
+#include "StoreClient.h"
+#include "WaitForStore.h"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -75,3 +78,33 @@
   cr_assert_lt(
     elapsed, cluster.m_shutdownLimit + kTolerance, "%ld us", elapsed.count());
 }
+
+// The event of a new agent is lost on a connection that stays open. A balancer
+// that starts later lists the agent, and agents pass the newer position on.
+Test(UnresponsiveStore, DoesNotHideANewAgentThatAnotherBalancerKnows)
+{
+  FlowCluster cluster(BuildFolder(), 2, 1);
+  cluster.Start();
+  cr_assert(WaitUntilAllReady(cluster, 2, Seconds(5)));
+  std::this_thread::sleep_for(Milliseconds(500));
+  cluster.Link().SetMode(LinkMode::Swallow);
+  StoreClient store(cluster.StoreAddress());
+  AgentEntry entry{ "desk", "a", { 0x7F020008, 8000 } };
+  auto written = WaitForStore<StoreWrite>([&](auto aOnEnd) {
+    store.Create(kAgentKind, "127.2.0.8", ToJson(entry), aOnEnd);
+  });
+  cr_assert(written.has_value());
+  std::this_thread::sleep_for(Milliseconds(300));
+  cluster.Link().SetMode(LinkMode::Pass);
+  cluster.Balancer(1).Kill();
+  cluster.StartBalancer(1);
+  auto isKnown = [&] {
+    auto status = cluster.StatusOf(0);
+    return status && status->at("agents").size() == 2;
+  };
+  TimePoint deadline = EventLoop::Now() + Seconds(3);
+  while (!isKnown() && EventLoop::Now() < deadline) {
+    std::this_thread::sleep_for(Milliseconds(20));
+  }
+  cr_assert(isKnown());
+}
