Move what a balancer reads from the store into a class of its own

StoreFollower holds the client, both watches, what they learn of the era from each other, and their metrics; it decodes the agents' entries. Behaviour is unchanged; the process tests of the packet path and of restorations pass.

--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -1,6 +1,5 @@
 #include "BalancerDaemon.h"
 
-#include "AgentEntryCodec.h"
 #include "HttpPaths.h"
 #include "HttpStatus.h"
 #include "Log.h"
@@ -22,23 +21,6 @@
 constexpr Duration kCallerIdleTime = Milliseconds(500);
 constexpr Duration kShutdownPollInterval = Milliseconds(100);
 
-void
-AddWatcherMetrics(MetricsText& aText,
-                  const std::string& aKind,
-                  const StoreWatcher& aWatcher)
-{
-  std::string kind = "kind=\"" + aKind + '"';
-  StorePosition position = aWatcher.Position();
-  aText.Add("bilberry_watch_era", position.m_era, kind);
-  aText.Add("bilberry_watch_revision", position.m_revision, kind);
-  aText.Add("bilberry_watches_resumed_total", aWatcher.ResumeCount(), kind);
-  for (const auto& row : kListReasonNames) {
-    std::string labels = kind + ",reason=\"" + std::string(row.m_name) + '"';
-    aText.Add(
-      "bilberry_listings_total", aWatcher.ListCount(row.m_value), labels);
-  }
-}
-
 } // namespace
 
 BalancerDaemon::BalancerDaemon(const FlowSettings& aSettings)
@@ -48,27 +30,20 @@
               [this](const FlowMessage& aMessage, uint32_t aFromIp) {
                 OnControlMessage(aMessage, aFromIp);
               })
-  , m_store(aSettings.m_platform)
   , m_core(aSettings.m_domain, std::random_device{}())
-  , m_configWatcher(
-      m_loop,
-      m_store,
-      kConfigKind,
-      [this](const auto& aObjects, const StorePosition&) {
-        OnConfigObjects(aObjects);
-      },
-      [this] {
-        std::uniform_real_distribution<double> draw(0, 1);
-        return ConfigWatchTimeout(m_core.Agents().All().size(), draw(m_random));
-      })
-  , m_agentsWatcher(
-      m_loop,
-      m_store,
-      kAgentKind,
-      [this](const auto& aObjects, const StorePosition& aPosition) {
-        OnAgentObjects(aObjects, aPosition);
-      },
-      [] { return kMaxWatchTimeout; })
+  , m_store(m_loop,
+            aSettings.m_platform,
+            { [this](const StoreObject& aObject) {
+               OnConfiguration(aObject.m_content, "store", aObject.m_position);
+             },
+              [this](const auto& aEntries, const StorePosition& aPosition) {
+                OnAgentsListed(aEntries, aPosition);
+              },
+              [this] {
+                std::uniform_real_distribution<double> draw(0, 1);
+                return ConfigWatchTimeout(m_core.Agents().All().size(),
+                                          draw(m_random));
+              } })
   , m_peerSync(m_loop,
                aSettings.m_seeds,
                aSettings.m_adminListen,
@@ -140,27 +115,10 @@
   m_loop.RunEvery(Seconds(1), LogWhatWasLeftOut);
   m_loop.RunAfter(m_settings.m_staleEntryAfter,
                   [this] { RemoveStaleEntries(); });
-  m_store.SetOnRestored([this](uint64_t aEra) {
-    m_loop.Post([this, aEra] {
-      m_configWatcher.OnStoreRestored(aEra);
-      m_agentsWatcher.OnStoreRestored(aEra);
-    });
-  });
-  m_configWatcher.Start();
-  m_agentsWatcher.Start();
+  m_store.Start();
   return {};
 }
 
-void
-BalancerDaemon::OnConfigObjects(const StoreWatcher::Objects& aObjects)
-{
-  auto found = aObjects.find(kConfigName);
-  if (found != aObjects.end()) {
-    const StoreObject& object = found->second;
-    OnConfiguration(object.m_content, "store", object.m_position);
-  }
-}
-
 void
 BalancerDaemon::OnConfiguration(const std::string& aContent,
                                 const char* aSource,
@@ -261,7 +219,7 @@
 {
   return { m_core.RoutesVersion(),
            m_core.Agents().Position(),
-           m_agentsWatcher.IsConnected() };
+           m_store.AreAgentsWatched() };
 }
 
 // The store has precedence; peers serve as a fallback for a balancer that
@@ -274,7 +232,7 @@
   Duration batchDelay = BatchDelay(m_core.Agents().All().size());
   if (own.m_isAgentListWatched &&
       m_peerVersions.IsWatchOverdue(now, own.m_agents, batchDelay)) {
-    m_agentsWatcher.Renew();
+    m_store.RenewAgents();
   }
   if (std::optional<Endpoint> peer = m_peerVersions.SelectPeer(now, own)) {
     return m_peerSync.FetchFrom(*peer, own);
@@ -286,25 +244,14 @@
 }
 
 void
-BalancerDaemon::OnAgentObjects(const StoreWatcher::Objects& aObjects,
+BalancerDaemon::OnAgentsListed(const std::vector<AgentEntry>& aEntries,
                                const StorePosition& aPosition)
 {
-  std::vector<AgentEntry> entries;
-  for (const auto& [name, object] : aObjects) {
-    Result<AgentEntry> entry = ParseAgentEntry(name, object.m_content);
-    if (entry) {
-      entries.push_back(std::move(*entry));
-    } else {
-      Log(LogLevel::Warning,
-          "agent-entry-rejected",
-          { { "name", name }, { "detail", entry.error().m_detail } });
-    }
-  }
-  m_core.Agents().SetListed(EventLoop::Now(), aPosition, entries);
+  m_core.Agents().SetListed(EventLoop::Now(), aPosition, aEntries);
   const StorePosition& inForce = m_core.Agents().Position();
   Log(LogLevel::Info,
       "agents-listed",
-      { { "agents", entries.size() },
+      { { "agents", aEntries.size() },
         { "era", aPosition.m_era },
         { "revision", aPosition.m_revision },
         { "in_force_era", inForce.m_era },
@@ -472,9 +419,7 @@
   text.Add("bilberry_agents", m_core.Agents().All().size());
   text.Add("bilberry_agents_era", m_core.Agents().Position().m_era);
   text.Add("bilberry_agents_revision", m_core.Agents().Position().m_revision);
-  text.Add("bilberry_store_era", m_store.Era());
-  AddWatcherMetrics(text, kConfigKind, m_configWatcher);
-  AddWatcherMetrics(text, kAgentKind, m_agentsWatcher);
+  m_store.AddMetrics(text);
   text.Add("bilberry_ready", m_isReady ? 1 : 0);
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
   text.Add("bilberry_openings_left_out_total", m_synBacklog.DiscardedCount());
@@ -489,7 +434,7 @@
 BalancerDaemon::OnTick()
 {
   TimePoint now = EventLoop::Now();
-  m_core.SetAgentsCurrent(now, m_agentsWatcher.IsCurrent());
+  m_core.SetAgentsCurrent(now, m_store.AreAgentsCurrent());
   Execute(m_core.OnTick(now), {});
   bool isReady = !m_shutdownStartedAt && m_core.IsReady(now);
   if (isReady != m_isReady) {
@@ -528,12 +473,12 @@
     1, m_settings.m_staleEntryAfter.count());
   m_loop.RunAfter(Milliseconds(delayMs(m_random)),
                   [this] { RemoveStaleEntries(); });
-  if (!m_agentsWatcher.IsConnected()) {
+  if (!m_store.AreAgentsWatched()) {
     return;
   }
   for (uint32_t ip : m_core.Agents().ListedWithoutReports(
          EventLoop::Now(), m_settings.m_staleEntryAfter)) {
-    m_store.Remove(
+    m_store.Client().Remove(
       kAgentKind, IpToText(ip), [ip](const Result<StoreWrite>& aWrite) {
         Log(aWrite ? LogLevel::Info : LogLevel::Warning,
             "stale-entry-removed",
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -6,7 +6,7 @@
 #include "FlowBalancer.h"
 #include "FlowSettings.h"
 #include "PeerSync.h"
-#include "StoreWatcher.h"
+#include "StoreFollower.h"
 #include "SynBacklog.h"
 
 namespace bilberryfield {
@@ -34,7 +34,6 @@
   void PlaceQueuedSyns();
   void OnReturnedPacket(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnControlMessage(const FlowMessage& aMessage, uint32_t aFromIp);
-  void OnConfigObjects(const StoreWatcher::Objects& aObjects);
   void OnConfiguration(const std::string& aContent,
                        const char* aSource,
                        const StorePosition& aPosition);
@@ -43,7 +42,7 @@
   AdminAnswer Snapshot(const HttpIncoming& aRequest) const;
   LocalVersions CurrentVersions() const;
   void FetchFromPeersIfBehind();
-  void OnAgentObjects(const StoreWatcher::Objects& aObjects,
+  void OnAgentsListed(const std::vector<AgentEntry>& aEntries,
                       const StorePosition& aPosition);
   void Execute(const std::vector<BalancerStep>& aSteps,
                std::span<uint8_t> aBytes);
@@ -60,11 +59,9 @@
   FlowSettings m_settings;
   EventLoop m_loop;
   ControlChannel m_control;
-  StoreClient m_store;
   FlowBalancer m_core;
+  StoreFollower m_store;
   SynBacklog m_synBacklog;
-  StoreWatcher m_configWatcher;
-  StoreWatcher m_agentsWatcher;
   PeerVersions m_peerVersions;
   PeerSync m_peerSync;
   /** JSON text of the configuration in force, as the operator stored it. */
--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -153,7 +153,10 @@
                      [this, aOnDone, calledAt, write = std::move(aWrite)] {
                        m_isFlushing = false;
                        OnWritten(calledAt, write);
-                       write ? Flush(aOnDone) : aOnDone();
+                       if (!write) {
+                         return aOnDone();
+                       }
+                       Flush(aOnDone);
                      });
                  });
 }
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -184,7 +184,10 @@
   if (!isUnchanged || wasRenewed) {
     m_onChange(m_objects, m_position);
   }
-  isUnchanged ? Watch() : ScheduleNextWatch();
+  if (isUnchanged) {
+    return Watch();
+  }
+  ScheduleNextWatch();
 }
 
 // The delay batches changes that occur in quick succession into one call.
