Check the own entry after 3 s without a subscription

A new server got no flows for up to 10 s after a restoration: the store had lost its agent's entry before any balancer read it, or the balancers that knew it were gone, so that nobody told the agent.

The first check is due after 3 s, or half the lifetime of the last subscription where balancers renew seldom; the interval doubles up to 10 s, so that many agents without balancers do not take the store's rate. Subscriptions::AnAgentWithoutAnyChecksItsStoreEntry demanded no check before 10 s; it now demands none before 3 s and one after.

--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -1,5 +1,6 @@
 #include "ReportSchedule.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bilberryfield {
@@ -7,8 +8,13 @@
 namespace {
 
 /** Time without a subscription from any balancer after which the agent checks
- * its entry in the store. */
-constexpr Duration kSubscriptionTimeout = Seconds(10);
+ * its entry in the store for the first time, unless balancers renew their
+ * subscriptions less often. */
+constexpr Duration kFirstCheckAfter = Seconds(3);
+/** As kFirstCheckAfter, for later checks: the interval doubles up to this. */
+constexpr Duration kMaxCheckInterval = Seconds(10);
+/** A subscription lives for four renewals; two of them may be late. */
+constexpr int kLifetimesPerCheck = 2;
 
 bool
 IsFull(const ServerLoad& aLoad)
@@ -22,6 +28,7 @@
   : m_report(std::move(aDetails))
   , m_serviceTag(ServiceTag(m_report.m_service))
   , m_lastSubscribed(aStart)
+  , m_checkAfter(kFirstCheckAfter)
 {
 }
 
@@ -31,6 +38,8 @@
                             const Subscribe& aMessage)
 {
   m_lastSubscribed = aNow;
+  m_checkAfter = std::max<Duration>(
+    kFirstCheckAfter, aMessage.m_intervals.m_lifetime / kLifetimesPerCheck);
   Subscriber& subscriber = m_subscribers[aBalancerIp];
   subscriber.m_subscribedAt = aNow;
   subscriber.m_intervals = aMessage.m_intervals;
@@ -81,8 +90,11 @@
     return aNow - aItem.second.m_subscribedAt >
            aItem.second.m_intervals.m_lifetime;
   });
-  if (aNow - m_lastSubscribed > kSubscriptionTimeout) {
+  // No balancer that could tell that the entry is missing knows this agent.
+  if (aNow - m_lastSubscribed > m_checkAfter) {
     m_lastSubscribed = aNow;
+    m_checkAfter =
+      std::max(m_checkAfter, std::min(2 * m_checkAfter, kMaxCheckInterval));
     m_isStoreCheckDue = true;
   }
   DueReports due;
--- a/packages/flow/ReportSchedule.h
+++ b/packages/flow/ReportSchedule.h
@@ -66,6 +66,8 @@
   /** Time of the last subscription, or of the last store check for lack of one.
    */
   TimePoint m_lastSubscribed;
+  /** Time without a subscription after which the next store check is due. */
+  Duration m_checkAfter;
 };
 
 } // namespace bilberryfield
--- a/test/correctness/Subscriptions.cpp
+++ b/test/correctness/Subscriptions.cpp
@@ -241,8 +241,37 @@
 Test(Subscriptions, AnAgentWithoutAnyChecksItsStoreEntry)
 {
   FlowAgent agent(DeskAgent(), kStart);
-  agent.OnTick(kStart + Seconds(9));
+  agent.OnTick(kStart + Milliseconds(2'900));
   cr_assert_not(agent.TakeStoreCheckDue());
-  agent.OnTick(kStart + Seconds(11));
+  agent.OnTick(kStart + Milliseconds(3'100));
   cr_assert(agent.TakeStoreCheckDue());
 }
+
+// While all balancers are down, the checks of many agents must not take the
+// whole rate of the store.
+Test(Subscriptions, TheirAbsenceMakesAnAgentCheckTheStoreEverLessOften)
+{
+  ReportSchedule schedule(ReadyReport({ kFirstAgent, 8000 }, "here"), kStart);
+  std::vector<int64_t> checksAt;
+  for (Duration time{}; time < Seconds(40); time += Milliseconds(100)) {
+    schedule.OnTick(kStart + time, {});
+    if (schedule.TakeStoreCheckDue()) {
+      checksAt.push_back(ToMilliseconds(time));
+    }
+  }
+  cr_assert(checksAt ==
+            std::vector<int64_t>({ 3100, 9200, 19300, 29400, 39500 }));
+}
+
+// With many agents each balancer renews its subscriptions seldom.
+Test(Subscriptions, ThatAreRenewedSeldomCauseNoStoreChecks)
+{
+  ReportSchedule schedule(ReadyReport({ kFirstAgent, 8000 }, "here"), kStart);
+  Subscribe message;
+  message.m_intervals.m_lifetime = Seconds(80);
+  schedule.OnSubscribe(kStart, kBalancer, message);
+  schedule.OnTick(kStart + Seconds(40), {});
+  cr_assert_not(schedule.TakeStoreCheckDue());
+  schedule.OnTick(kStart + Milliseconds(40'001), {});
+  cr_assert(schedule.TakeStoreCheckDue());
+}
--- a/test/process/RestoredStore.cpp
+++ b/test/process/RestoredStore.cpp
@@ -19,6 +19,9 @@
 constexpr Duration kConfigBound = Seconds(3);
 /** Time in which the system has to write again what the store lost. */
 constexpr Duration kRewriteBound = Seconds(2);
+/** As kRewriteBound, for an agent that nobody can tell: its own check is due 3
+ * s after its start, and a call takes up to a second. */
+constexpr Duration kCheckBound = Seconds(4);
 
 template<typename Condition>
 bool
@@ -96,7 +99,7 @@
     cr_assert(WaitUntil(Seconds(5), [&] {
       auto status = StatusOf(0);
       return status && status->at("ready").get<bool>() &&
-             ListedAgents().size() == static_cast<size_t>(aServers);
+             status->at("agents").size() == static_cast<size_t>(aServers);
     }));
   }
 };
@@ -176,6 +179,26 @@
   cr_assert(WaitUntil(kRewriteBound, areBothListed));
 }
 
+// The balancer that knew the agent is gone as well, so nobody can tell it.
+Test(RestoredStore, LostEntryThatNoBalancerKnowsIsWrittenAgain)
+{
+  ListedCluster cluster(2);
+  cluster.Balancer(0).Kill();
+  cluster.Agent(1).Kill();
+  StoreClient store(cluster.StoreAddress());
+  cr_assert(WaitForStore<StoreWrite>([&](auto aOnEnd) {
+              store.Remove(kAgentKind, "127.2.0.2", aOnEnd);
+            }).has_value());
+  cluster.CopyStore();
+  cluster.StartAgent(1);
+  auto areBothListed = [&] { return cluster.ListedAgents().size() == 2; };
+  cr_assert(WaitUntil(Seconds(2), areBothListed));
+  cluster.RestoreStore();
+  cluster.StartBalancer(0);
+  cr_assert_eq(cluster.ListedAgents().size(), 1);
+  cr_assert(WaitUntil(kCheckBound, areBothListed));
+}
+
 Test(RestoredStore, LostJournalBatchesAreStoredAgain)
 {
   constexpr uint32_t kFlows = 200;
