Give the store's client positions instead of bare revisions

Watch and Replace take a StorePosition and say what an answer of another era means; the revision is taken out of it where the call is written. No change of behaviour. Tests: the service samples and the steps of a lost publish stand once.

--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -91,7 +91,7 @@
   m_store.Replace(kAgentKind,
                   m_entryName,
                   ToJson(m_entry),
-                  0,
+                  {},
                   [this](Result<StoreWrite> aWrite) {
                     m_loop.Post([this, write = std::move(aWrite)] {
                       bool isStored = write && write->m_outcome ==
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -117,7 +117,7 @@
   uint64_t number = ++m_callNumber;
   m_isWatchDelayed = false;
   m_store.Watch(m_kind,
-                m_position.m_revision,
+                m_position,
                 NextWatchTimeout(),
                 [this, number](Result<StoreChanges> aChanges) {
                   m_loop.Post(
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -199,7 +199,7 @@
     if (aIsFirst) {
       store.Create(kConfigKind, kConfigName, aContent, aOnEnd);
     } else {
-      store.Replace(kConfigKind, kConfigName, aContent, 0, aOnEnd);
+      store.Replace(kConfigKind, kConfigName, aContent, {}, aOnEnd);
     }
   });
   return written && written->m_outcome == StoreWrite::Outcome::Stored;
--- a/test/correctness/ConfigRestoration.cpp
+++ b/test/correctness/ConfigRestoration.cpp
@@ -1,6 +1,7 @@
 #include "ConfigRestore.h"
 #include "FakeStore.h"
 #include "Publisher.h"
+#include "ServiceSamples.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -14,19 +15,6 @@
 /** Port of each service by number; later publishes have higher ports. */
 using Ports = std::map<int, int>;
 
-ServiceConfig
-MakeService(int aService, int aPort)
-{
-  ServiceConfig service;
-  service.m_name = "service-" + std::to_string(aService);
-  service.m_address =
-    "10.0.0." + std::to_string(aService) + ":" + std::to_string(aPort);
-  service.m_labels = { "label" };
-  service.m_classes = { { .m_name = "only" } };
-  service.m_defaultClass = "only";
-  return service;
-}
-
 PublishResult
 PublishService(FakeStore& aStore, const ServiceConfig& aService)
 {
@@ -90,9 +78,9 @@
 {
   FakeStore store;
   Nodes nodes;
-  PublishService(store, MakeService(1, 80));
+  PublishService(store, NumberedService(1, 80));
   store.TakeCopy();
-  PublishResult lost = PublishService(store, MakeService(1, 81));
+  PublishResult lost = PublishService(store, NumberedService(1, 81));
   nodes.ReadAll(store);
   store.Restore();
   nodes.ReadAll(store);
@@ -106,12 +94,12 @@
 {
   FakeStore store;
   Nodes nodes;
-  PublishService(store, MakeService(1, 80));
+  PublishService(store, NumberedService(1, 80));
   store.TakeCopy();
-  PublishService(store, MakeService(1, 81));
+  PublishService(store, NumberedService(1, 81));
   nodes.ReadAll(store);
   store.Restore();
-  PublishService(store, MakeService(2, 82));
+  PublishService(store, NumberedService(2, 82));
   nodes.ReadAll(store);
   Nodes newNode;
   newNode.ReadAll(store);
@@ -122,13 +110,13 @@
 {
   FakeStore store;
   Nodes nodes;
-  PublishService(store, MakeService(1, 80));
+  PublishService(store, NumberedService(1, 80));
   store.TakeCopy();
-  PublishService(store, MakeService(2, 82));
+  PublishService(store, NumberedService(2, 82));
   nodes.ReadAll(store);
   store.Restore();
-  ServiceConfig newer = MakeService(3, 83);
-  newer.m_address = MakeService(2, 82).m_address;
+  ServiceConfig newer = NumberedService(3, 83);
+  newer.m_address = NumberedService(2, 82).m_address;
   cr_assert(PublishService(store, newer).m_outcome == PublishOutcome::Accepted);
   nodes.ReadAll(store);
   ConfigHead head = FetchHead(store).value().first;
@@ -139,9 +127,9 @@
 Test(ConfigRestoration, PublishPlannedBeforeItIsPlannedAnew)
 {
   FakeStore store;
-  PublishService(store, MakeService(1, 80));
+  PublishService(store, NumberedService(1, 80));
   store.TakeCopy();
-  PublishService(store, MakeService(1, 81));
+  PublishService(store, NumberedService(1, 81));
   int calls = 0;
   store.m_onCall = [&] {
     if (++calls == 3) {
@@ -149,7 +137,7 @@
     }
     return StoreFault::None;
   };
-  PublishResult result = PublishService(store, MakeService(2, 82));
+  PublishResult result = PublishService(store, NumberedService(2, 82));
   cr_assert(result.m_outcome == PublishOutcome::Accepted);
   cr_assert_eq(FetchHead(store).value().first.m_version, result.m_version);
 }
@@ -178,7 +166,7 @@
           break;
         default: {
           int service = *rc::gen::inRange(1, kServices + 1);
-          auto result = PublishService(store, MakeService(service, step));
+          auto result = PublishService(store, NumberedService(service, step));
           RC_ASSERT(result.m_outcome == PublishOutcome::Accepted);
           RC_ASSERT(result.m_version > version);
           expected[service] = step;
--- a/test/correctness/Publishing.cpp
+++ b/test/correctness/Publishing.cpp
@@ -1,5 +1,6 @@
 #include "FakeStore.h"
 #include "Publisher.h"
+#include "ServiceSamples.h"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
@@ -11,14 +12,11 @@
 PublishRequest
 MakeRequest(const std::string& aId, int aService, int aPort)
 {
-  ServiceConfig service;
-  service.m_name = "service-" + std::to_string(aService);
-  service.m_address =
-    "10.0.0." + std::to_string(aService) + ":" + std::to_string(aPort);
-  service.m_labels = { "label" };
-  service.m_classes = { { .m_name = "only" } };
-  service.m_defaultClass = "only";
-  return { aId, "operator-" + aId, { service }, {}, std::string(32, 'k') };
+  return { aId,
+           "operator-" + aId,
+           { NumberedService(aService, aPort) },
+           {},
+           std::string(32, 'k') };
 }
 
 ConfigHead
--- a/test/process/RestoredStore.cpp
+++ b/test/process/RestoredStore.cpp
@@ -122,6 +122,36 @@
   client.SendAndWait(call);
 }
 
+PublishResult
+PublishDeadline(ReadyCluster& aCluster, Milliseconds aDeadline)
+{
+  ServiceConfig service = MakeService("catalogue");
+  service.m_classes[0].m_deadline = aDeadline;
+  PublishResult result = aCluster.PublishServices({ service });
+  cr_assert(result.m_outcome == PublishOutcome::Accepted);
+  return result;
+}
+
+/** Has the store lose a publish that is in force everywhere. */
+PublishResult
+LosePublish(ReadyCluster& aCluster)
+{
+  DisturbStore(aCluster.PlatformAddress(), "copy=1");
+  PublishResult lost = PublishDeadline(aCluster, Seconds(4));
+  cr_assert(aCluster.WaitForVersion(lost.m_version));
+  DisturbStore(aCluster.PlatformAddress(), "restore=1");
+  return lost;
+}
+
+/** With the version number of the lost publish, every node would ignore it. */
+void
+CheckNextPublish(ReadyCluster& aCluster, const PublishResult& aLost)
+{
+  PublishResult next = PublishDeadline(aCluster, Seconds(3));
+  cr_assert_gt(next.m_version, aLost.m_version);
+  cr_assert(aCluster.WaitForVersion(next.m_version));
+}
+
 } // namespace
 
 // The store loses two changes. One of them is written again and a new one
@@ -248,43 +278,21 @@
   cr_assert_eq(other.Get(key).value()->m_value, "other");
 }
 
-// Without it the next publish would get the version number of a lost one, and
-// every node would ignore it.
 Test(RestoredStore, LostPublishIsWrittenAgainAndTheNextOneIsInForce)
 {
   ReadyCluster cluster(1);
-  DisturbStore(cluster.PlatformAddress(), "copy=1");
-  ServiceConfig changed = MakeService("catalogue");
-  changed.m_classes[0].m_deadline = Seconds(4);
-  PublishResult lost = cluster.PublishServices({ changed });
-  cr_assert(lost.m_outcome == PublishOutcome::Accepted);
-  cr_assert(cluster.WaitForVersion(lost.m_version));
-  DisturbStore(cluster.PlatformAddress(), "restore=1");
+  PublishResult lost = LosePublish(cluster);
   cr_assert_lt(HeadVersion(cluster.PlatformAddress()), lost.m_version);
   cr_assert(WaitUntil(2 * kRewriteBound, [&] {
     return HeadVersion(cluster.PlatformAddress()) >= lost.m_version;
   }));
-  changed.m_classes[0].m_deadline = Seconds(3);
-  PublishResult next = cluster.PublishServices({ changed });
-  cr_assert(next.m_outcome == PublishOutcome::Accepted);
-  cr_assert_gt(next.m_version, lost.m_version);
-  cr_assert(cluster.WaitForVersion(next.m_version));
+  CheckNextPublish(cluster, lost);
 }
 
 Test(RestoredStore, PublishBeforeTheLostOneIsWrittenAgainIsInForce)
 {
   ReadyCluster cluster(1);
-  DisturbStore(cluster.PlatformAddress(), "copy=1");
-  ServiceConfig changed = MakeService("catalogue");
-  changed.m_classes[0].m_deadline = Seconds(4);
-  PublishResult lost = cluster.PublishServices({ changed });
-  cr_assert(cluster.WaitForVersion(lost.m_version));
-  DisturbStore(cluster.PlatformAddress(), "restore=1");
-  changed.m_classes[0].m_deadline = Seconds(3);
-  PublishResult next = cluster.PublishServices({ changed });
-  cr_assert(next.m_outcome == PublishOutcome::Accepted);
-  cr_assert_gt(next.m_version, lost.m_version);
-  cr_assert(cluster.WaitForVersion(next.m_version));
+  CheckNextPublish(cluster, LosePublish(cluster));
 }
 
 Test(RestoredStore, LostPeerAddressesAreWrittenAgain)
