Compare peers' positions with what the watch has shown, not with the list

The position of a list is the store's revision when its last change was answered, so lists with the same content have different positions, and on a store with other writes a renewal that found no change raised the own position above the others', which then renewed theirs, and so on: a call of each balancer every two seconds and a subscription to each agent with it. Found by reading.

Overdue and complete now compare with the position that the watch has reached; a renewal without changes ends there and announces nothing.

--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -222,6 +222,14 @@
            m_store.AreAgentsWatched() };
 }
 
+// The position of the list is that of its last change, and the watch may have
+// shown since that nothing else changed.
+StorePosition
+BalancerDaemon::AgentsKnownUpTo() const
+{
+  return std::max(m_core.Agents().Position(), m_store.AgentsPosition());
+}
+
 // The store has precedence; peers serve as a fallback for a balancer that
 // cannot load from it.
 void
@@ -231,7 +239,7 @@
   LocalVersions own = CurrentVersions();
   Duration batchDelay = BatchDelay(m_core.Agents().All().size());
   if (own.m_isAgentListWatched &&
-      m_peerVersions.IsWatchOverdue(now, own.m_agents, batchDelay)) {
+      m_peerVersions.IsWatchOverdue(now, AgentsKnownUpTo(), batchDelay)) {
     m_store.RenewAgents();
   }
   if (std::optional<Endpoint> peer = m_peerVersions.SelectPeer(now, own)) {
@@ -437,7 +445,7 @@
   // A watch on a silent connection seems to work. An agent that is missing from
   // the own list may have the flows that all others deny.
   bool isCurrent = m_store.AreAgentsCurrent() &&
-                   !m_peerVersions.HasNewerAgents(m_core.Agents().Position());
+                   !m_peerVersions.HasNewerAgents(AgentsKnownUpTo());
   m_core.SetAgentsCurrent(now, isCurrent);
   Execute(m_core.OnTick(now), {});
   bool isReady = !m_shutdownStartedAt && m_core.IsReady(now);
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -41,6 +41,8 @@
   AdminAnswer Status() const;
   AdminAnswer Snapshot(const HttpIncoming& aRequest) const;
   LocalVersions CurrentVersions() const;
+  /** Position up to which this balancer knows the agents in the store. */
+  StorePosition AgentsKnownUpTo() const;
   void FetchFromPeersIfBehind();
   void OnAgentsListed(const std::vector<AgentEntry>& aEntries,
                       const StorePosition& aPosition);
--- a/packages/flownode/StoreFollower.h
+++ b/packages/flownode/StoreFollower.h
@@ -40,6 +40,8 @@
   bool AreAgentsWatched() const { return m_agents.IsConnected(); }
   /** True while changes of the agents are received without a long delay. */
   bool AreAgentsCurrent() const { return m_agents.IsCurrent(); }
+  /** Position up to which changes of the agents were received. */
+  const StorePosition& AgentsPosition() const { return m_agents.Position(); }
   /** Asks at once for changes of the agents; see StoreWatcher::Renew. */
   void RenewAgents() { m_agents.Renew(); }
 
--- a/packages/flownode/StoreWatcher.cpp
+++ b/packages/flownode/StoreWatcher.cpp
@@ -4,7 +4,6 @@
 #include "StoreWatchTiming.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace bilberryfield {
 
@@ -161,7 +160,7 @@
     return RetryLater(aChanges.error(), &StoreWatcher::Watch);
   }
   OnSuccess();
-  bool wasRenewed = std::exchange(m_isRenewed, false);
+  m_isRenewed = false;
   const StorePosition& answered = aChanges->m_position;
   m_era = std::max(m_era, answered.m_era);
   if (answered.m_era != m_position.m_era) {
@@ -179,14 +178,10 @@
       m_objects[name] = std::move(change.m_object);
     }
   }
-  bool isUnchanged = aChanges->m_changes.empty();
-  // After a renewal the reader learns that its list is current up to here.
-  if (!isUnchanged || wasRenewed) {
-    m_onChange(m_objects, m_position);
-  }
-  if (isUnchanged) {
+  if (aChanges->m_changes.empty()) {
     return Watch();
   }
+  m_onChange(m_objects, m_position);
   ScheduleNextWatch();
 }
 
