--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,15 @@
 	scripts/soak.sh $(BUILD)
 
 # Disturbs the packet path's real processes from outside and checks the
-# promises; SEED is the first of SEEDS seeds.
+# promises; SEED is the first of SEEDS seeds. RESTORATIONS=false draws the days of
+# seeds from before the store could be restored from a copy.
 SEED ?= 1
 SEEDS ?= 50
 SECONDS_EACH ?= 8
+RESTORATIONS ?= true
 
 fault-soak: build
-	$(BUILD)/standins/FaultSoak --build=$(BUILD) --seed=$(SEED) --seeds=$(SEEDS) --seconds_each=$(SECONDS_EACH)
+	$(BUILD)/standins/FaultSoak --build=$(BUILD) --seed=$(SEED) --seeds=$(SEEDS) --seconds_each=$(SECONDS_EACH) --restorations=$(RESTORATIONS)
 
 # Measures the policy against its bounds, beside a baseline; SEED chooses the
 # arrivals.
