--- a/test/process/RestoredStore.cpp
+++ b/test/process/RestoredStore.cpp
@@ -154,6 +154,30 @@
 
 } // namespace
 
+// Also an answer that tells of no object shows the store's era.
+Test(RestoredStore, StoreEraIsNoticedInAnyAnswer)
+{
+  FlowCluster cluster(BuildFolder(), 0, 0);
+  cluster.Start();
+  StoreClient store(cluster.StoreAddress());
+  std::vector<uint64_t> noticed;
+  store.SetOnRestored([&](uint64_t aEra) { noticed.push_back(aEra); });
+  auto readMissing = [&] {
+    auto found = WaitForStore<std::optional<StoreObject>>(
+      [&](auto aOnEnd) { store.Read(kAgentKind, "none", aOnEnd); });
+    cr_assert(found && !*found);
+  };
+  readMissing();
+  cr_assert_eq(store.Era(), 1);
+  cr_assert(noticed.empty());
+  cluster.CopyStore();
+  cluster.RestoreStore();
+  readMissing();
+  readMissing();
+  cr_assert_eq(store.Era(), 2);
+  cr_assert(noticed == std::vector<uint64_t>{ 2 });
+}
+
 // The store loses two changes. One of them is written again and a new one
 // follows, so the newest change has the revision at which the watch stopped.
 Test(RestoredStore, ChangeWithAReusedRevisionComesIntoForce)
