Remove the store entry of an agent that stops without a server

Cause: an agent that was started again after its server had left did not know of the entry that its earlier start had stored. After a loss of power 22 such entries stayed listed (for up to 10 minutes), and every search for a lost flow waited in vain for these agents. Change: during a shutdown the agent removes its entry when its server has left or has sent no heartbeat for three intervals since the agent's start, and waits for the removal until the shutdown limit. Beside a living server it stays. Result: StaleEntries::StoppedAgentWithoutAServerRemovesTheEntryOfAnEarlierStart failed before and passes; the other three of the suite pass.

--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -16,6 +16,9 @@
  * flows. */
 constexpr Duration kBalancerUpdateTime = Milliseconds(300);
 constexpr Duration kShutdownPollInterval = Milliseconds(50);
+/** Heartbeat intervals after the start of this process without a heartbeat
+ * after which there is no server. */
+constexpr int kHeartbeatsToServer = 3;
 
 FlowAgentOptions
 MakeAgentOptions(const FlowSettings& aSettings)
@@ -59,7 +62,8 @@
                 OnControlMessage(aMessage, aFromIp);
               })
   , m_store(aSettings.m_platform)
-  , m_core(MakeAgentOptions(aSettings), EventLoop::Now())
+  , m_startedAt(EventLoop::Now())
+  , m_core(MakeAgentOptions(aSettings), m_startedAt)
   , m_registrar(
       m_loop,
       m_store,
@@ -395,10 +399,31 @@
 AgentDaemon::ContinueShutdown()
 {
   Duration elapsed = EventLoop::Now() - *m_shutdownStartedAt;
-  if (elapsed >= kBalancerUpdateTime && m_core.BusyFlows() == 0) {
+  bool isIdle = elapsed >= kBalancerUpdateTime && m_core.BusyFlows() == 0;
+  if (isIdle && IsEntrySettled()) {
     return m_journal.Flush([this] { m_loop.Stop(); });
   }
   m_loop.RunAfter(kShutdownPollInterval, [this] { ContinueShutdown(); });
 }
 
+// Balancers search the agents in the store's list for flows that they do not
+// know. The entry of an agent that has ended would leave these searches
+// undecided. Beside a living server the entry stays for the agent's next start.
+bool
+AgentDaemon::IsEntrySettled()
+{
+  TimePoint now = EventLoop::Now();
+  ServerCondition condition = m_core.Condition(now);
+  if (condition == ServerCondition::Unknown) {
+    Duration sinceStart = now - m_startedAt;
+    if (sinceStart < kHeartbeatsToServer * m_settings.m_heartbeatEvery) {
+      return false;
+    }
+  } else if (condition != ServerCondition::Gone) {
+    return true;
+  }
+  m_registrar.Withdraw();
+  return m_registrar.IsWithdrawn();
+}
+
 } // namespace bilberryfield
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -52,11 +52,15 @@
                        const PacketHeader& aHeader,
                        const FlowKey& aFlow);
   void ContinueShutdown();
+  /** During a shutdown: true if the entry in the store may stay, or has been
+   * removed because the server has left. */
+  bool IsEntrySettled();
 
   FlowSettings m_settings;
   EventLoop m_loop;
   ControlChannel m_control;
   StoreClient m_store;
+  TimePoint m_startedAt;
   FlowAgent m_core;
   AgentRegistrar m_registrar;
   FlowJournal m_journal;
--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -44,6 +44,18 @@
   }
 }
 
+// An agent that was restarted after its server had left does not know whether
+// its previous start has stored an entry.
+void
+AgentRegistrar::Withdraw()
+{
+  if (m_storedState == EntryState::Unknown) {
+    m_storedState = EntryState::Present;
+  }
+  m_isDesired = false;
+  Reconcile();
+}
+
 void
 AgentRegistrar::Reconcile()
 {
--- a/packages/flownode/AgentRegistrar.h
+++ b/packages/flownode/AgentRegistrar.h
@@ -22,6 +22,16 @@
   /** Writes the entry again after a balancer did not find it in the store. */
   void OnEntryMissing();
 
+  /** Removes the entry for good, also one that an earlier start of this agent
+   * has stored. For the shutdown of an agent without a server. */
+  void Withdraw();
+
+  /** True if the entry is absent and no write is in progress. */
+  bool IsWithdrawn() const
+  {
+    return m_storedState == EntryState::Absent && !m_isWriting;
+  }
+
 private:
   /** State of the entry in the store after the last completed write. */
   enum class EntryState : uint8_t
--- a/test/process/StaleEntries.cpp
+++ b/test/process/StaleEntries.cpp
@@ -56,3 +56,30 @@
   cluster->Agent(1).Signal(SIGCONT);
   cr_assert(WaitForListedAgents(*cluster, 3, 4 * kStaleAfter));
 }
+
+// An agent that is started again after its server has ended must not leave the
+// entry of its previous start behind: searches would wait for it.
+Test(StaleEntries, StoppedAgentWithoutAServerRemovesTheEntryOfAnEarlierStart)
+{
+  FlowCluster cluster(BuildFolder(), 2, 3);
+  cluster.Start();
+  cr_assert(WaitForListedAgents(cluster, 3, Seconds(5)));
+  cluster.Agent(1).Kill();
+  cluster.Server(1).Kill();
+  cluster.StartAgent(1);
+  // Until its signal handlers are installed, a signal would kill the agent.
+  std::this_thread::sleep_for(Milliseconds(300));
+  cluster.Agent(1).Signal(SIGTERM);
+  cr_assert(WaitForListedAgents(cluster, 2, Seconds(5)));
+}
+
+// The entry of an agent beside a living server has to stay during a restart, or
+// balancers would take the list without it for complete and reset its flows.
+Test(StaleEntries, EntryStaysWhileAnAgentIsRestarted)
+{
+  FlowCluster cluster(BuildFolder(), 2, 3);
+  cluster.Start();
+  cr_assert(WaitForListedAgents(cluster, 3, Seconds(5)));
+  cluster.Agent(1).Signal(SIGTERM);
+  cr_assert(not WaitForListedAgents(cluster, 2, Seconds(2)));
+}
