Stop new flows to servers that reset requests unanswered

Cause: a server that flaps accepts flows and resets their requests while its heartbeats say that it is ready. The agent returns SYN packets meanwhile (reason "failing") and reports the condition "failing". After a backoff, single flows of routes with idempotent requests probe the server. On with eject_failing_server.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -138,6 +138,9 @@
     case ReturnReason::Silent:
       agent.m_load.m_condition = ServerCondition::Silent;
       break;
+    case ReturnReason::Failing:
+      agent.m_load.m_condition = ServerCondition::Failing;
+      break;
     case ReturnReason::Full:
     case ReturnReason::Bounced:
       agent.m_load.m_busy = std::max(aBusy, agent.m_load.m_slots);
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -52,6 +52,10 @@
   if (m_isStopping && condition == ServerCondition::Ready) {
     return ServerCondition::Draining;
   }
+  bool isOpen = m_circuit.State(aNow) == CircuitState::Open;
+  if (isOpen && condition == ServerCondition::Ready) {
+    return ServerCondition::Failing;
+  }
   return condition;
 }
 
@@ -155,6 +159,9 @@
   if (condition == ServerCondition::Unknown) {
     return ReturnPacket(ReturnReason::Starting, aBalancerIp);
   }
+  if (condition == ServerCondition::Failing) {
+    return ReturnPacket(ReturnReason::Failing, aBalancerIp);
+  }
   if (condition != ServerCondition::Ready) {
     return ReturnPacket(ReturnReason::NotAccepting, aBalancerIp);
   }
@@ -165,7 +172,8 @@
   if (m_synQueue.Contains(key)) {
     return Enqueue(aNow, std::move(syn));
   }
-  if (HasNoFreeSlot() && Demand() >= mark.m_busyLimit) {
+  bool isBusy = HasNoFreeSlot() && Demand() >= mark.m_busyLimit;
+  if (isBusy || !m_circuit.MayAdmit(aNow, mark.m_isIdempotent)) {
     return ReturnPacket(ReturnReason::Full, aBalancerIp);
   }
   if (!CanAdmit()) {
@@ -192,6 +200,7 @@
   flow.m_busySince = aNow;
   m_busy += 1;
   m_admittedFlows += 1;
+  m_circuit.OnAdmitted(aNow);
   m_busyEntries.push_back({ aNow, key });
   m_unconfirmedFlows.push_back({ aNow, key });
   m_unansweredSyns.push_back(
@@ -226,8 +235,10 @@
 {
   if (m_synQueue.Size() > 0 && Condition(aNow) != ServerCondition::Ready) {
     for (QueuedSyn& syn : m_synQueue.TakeAll()) {
-      AgentDecision decision =
-        ReturnPacket(ReturnReason::NotAccepting, syn.m_balancerIp);
+      ReturnReason reason = Condition(aNow) == ServerCondition::Failing
+                              ? ReturnReason::Failing
+                              : ReturnReason::NotAccepting;
+      AgentDecision decision = ReturnPacket(reason, syn.m_balancerIp);
       m_dequeuedSyns.push_back({ decision, std::move(syn) });
     }
   }
@@ -271,6 +282,8 @@
   AgentDecision decision{ FlowAgentAction::ToCaller };
   if (aHeader.m_length > 0 && IsBusy(flow->m_phase)) {
     RecordAnswer(aNow, *flow);
+  } else if (aHeader.Has(kReset)) {
+    RecordReset(aNow, *flow);
   }
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     decision.m_isLast = flow->m_phase != Phase::Closed;
@@ -326,11 +339,24 @@
   m_answerUs = m_answerUs == 0
                  ? sample
                  : m_answerUs + kAnswerTimeWeight * (sample - m_answerUs);
+  m_circuit.OnAnswer(aNow);
   if (aFlow.m_phase == Phase::Requested) {
     m_flowLimit.OnAnswer(aNow - aFlow.m_requestedAt);
   }
 }
 
+void
+FlowAgent::RecordReset(TimePoint aNow, const Flow& aFlow)
+{
+  if (aFlow.m_phase != Phase::Requested) {
+    return;
+  }
+  m_resetRequests += 1;
+  if (m_options.m_ejectsFailingServer) {
+    m_circuit.OnReset(aNow);
+  }
+}
+
 AgentDecision
 FlowAgent::OnBounced(const PacketHeader& aHeader)
 {
@@ -382,6 +408,7 @@
   HeartbeatResult result = m_server.OnHeartbeat(aNow, aHeartbeat);
   if (result == HeartbeatResult::NewIncarnation) {
     m_sawIncarnationStart = true;
+    m_circuit.OnNewIncarnation();
   }
   return result;
 }
@@ -412,9 +439,15 @@
 ServerLoad
 FlowAgent::CurrentLoad(TimePoint aNow) const
 {
-  return {
+  ServerLoad load = {
     Condition(aNow), Demand(), Slots(), static_cast<uint32_t>(m_answerUs)
   };
+  // One flow is enough to probe a server that has failed.
+  if (m_circuit.State(aNow) == CircuitState::HalfOpen) {
+    load.m_slots = 1;
+    load.m_busy = m_circuit.IsProbing(aNow) ? 1 : 0;
+  }
+  return load;
 }
 
 DueReports
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CircuitBreaker.h"
 #include "FlowLimit.h"
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
@@ -56,6 +57,8 @@
   Duration m_maxFlowAge = Seconds(60);
   /** Maximum number of flows per generation of the flow table. */
   size_t m_maxFlows = 100'000;
+  /** Stops new flows to a server that resets requests without an answer. */
+  bool m_ejectsFailingServer = false;
 };
 
 /** A SYN that the server has not answered. */
@@ -143,6 +146,8 @@
   size_t FlowCount() const { return m_flows.Size(); }
   /** Number of flows whose SYN or request is at the server. */
   uint32_t BusyFlows() const { return m_busy; }
+  /** Number of requests that the server reset without an answer. */
+  uint64_t ResetRequests() const { return m_resetRequests; }
   /** Number of SYNs in the queue. */
   size_t QueuedSynCount() const { return m_synQueue.Size(); }
 
@@ -185,6 +190,7 @@
                       uint32_t aBalancerIp);
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
+  void RecordReset(TimePoint aNow, const Flow& aFlow);
   AgentDecision OnBounced(const PacketHeader& aHeader);
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
@@ -234,6 +240,8 @@
   std::deque<SynEntry> m_unansweredSyns;
   SynQueue m_synQueue;
   FlowLimit m_flowLimit;
+  CircuitBreaker m_circuit;
+  uint64_t m_resetRequests = 0;
   /** Results for the next TakeDequeuedSyns call. */
   std::vector<DequeuedSyn> m_dequeuedSyns;
   ReportSchedule m_reports;
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -27,7 +27,7 @@
 MarkFor(const Route& aRoute, uint32_t aBusyLimit)
 {
   uint32_t priority = std::min<uint32_t>(aRoute.m_priority, UINT8_MAX);
-  return { aBusyLimit, static_cast<uint8_t>(priority) };
+  return { aBusyLimit, static_cast<uint8_t>(priority), aRoute.m_isIdempotent };
 }
 
 } // namespace
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -20,14 +20,16 @@
   Draining, /**< Keeps its flows and accepts no new ones. */
   Gone,     /**< Announced its final shutdown. */
   Silent,   /**< Stopped answering SYNs or sending heartbeats. */
+  Failing,  /**< Resets requests without an answer. */
 };
 
-inline constexpr NameTable<ServerCondition, 5> kServerConditionNames = { {
+inline constexpr NameTable<ServerCondition, 6> kServerConditionNames = { {
   { ServerCondition::Unknown, "unknown" },
   { ServerCondition::Ready, "ready" },
   { ServerCondition::Draining, "draining" },
   { ServerCondition::Gone, "gone" },
   { ServerCondition::Silent, "silent" },
+  { ServerCondition::Failing, "failing" },
 } };
 
 /** Returns the names of ServerCondition; selected by argument type. */
@@ -240,10 +242,11 @@
   WrongService, /**< The server at this address has another service. */
   NotOwner,     /**< The flow is not at this server. */
   Bounced,      /**< The server bounced the packet. */
+  Failing,      /**< The server resets requests without an answer. */
   Count,
 };
 
-inline constexpr NameTable<ReturnReason, 8> kReturnReasonNames = { {
+inline constexpr NameTable<ReturnReason, 9> kReturnReasonNames = { {
   { ReturnReason::None, "none" },
   { ReturnReason::Full, "full" },
   { ReturnReason::Starting, "starting" },
@@ -252,6 +255,7 @@
   { ReturnReason::WrongService, "wrong-service" },
   { ReturnReason::NotOwner, "not-owner" },
   { ReturnReason::Bounced, "bounced" },
+  { ReturnReason::Failing, "failing" },
 } };
 
 /** SynMark::m_busyLimit without a limit: the agent admits or queues the SYN at
@@ -266,16 +270,23 @@
   uint32_t m_busyLimit = kNoBusyLimit;
   /** Priority of the route; 0 is the most urgent. */
   uint8_t m_priority = 0;
+  /** The route's requests may run more than once. */
+  bool m_isIdempotent = false;
 
   uint32_t Pack() const
   {
-    return (static_cast<uint32_t>(m_priority) << 16U) |
+    return (m_isIdempotent ? kIdempotentBit : 0) |
+           (static_cast<uint32_t>(m_priority) << 16U) |
            std::min(m_busyLimit, kNoBusyLimit);
   }
   static SynMark Unpack(uint32_t aMark)
   {
-    return { aMark & 0xFFFFU, static_cast<uint8_t>(aMark >> 16U) };
+    return { aMark & 0xFFFFU,
+             static_cast<uint8_t>(aMark >> 16U),
+             (aMark & kIdempotentBit) != 0 };
   }
+
+  static constexpr uint32_t kIdempotentBit = 1U << 24U;
 };
 
 /** Server load that an agent puts into PacketHeader::m_tag of a returned
--- a/packages/flow/RouteTable.h
+++ b/packages/flow/RouteTable.h
@@ -30,6 +30,8 @@
   uint32_t m_priority = 0;
   /** Latency objective for answers to callers. */
   Milliseconds m_latencyTarget{ 0 };
+  /** Requests may run more than once. */
+  bool m_isIdempotent = false;
 
   bool operator==(const Route&) const = default;
 };
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -29,6 +29,7 @@
   options.m_packets = aSettings.m_packetListen;
   options.m_heartbeatEvery = aSettings.m_heartbeatEvery;
   options.m_maxFlowAge = aSettings.m_maxFlowAge;
+  options.m_ejectsFailingServer = aSettings.m_ejectsFailingServer;
   return options;
 }
 
@@ -227,6 +228,7 @@
     [this](ReturnReason aReason) { return m_core.ReturnCount(aReason); });
   text.Add("bilberry_openings_total", m_core.AdmittedFlows());
   text.Add("bilberry_queued_openings_rejected_total", m_core.RejectedSyns());
+  text.Add("bilberry_server_resets_total", m_core.ResetRequests());
   text.Add("bilberry_flows", m_core.FlowCount());
   text.Add("bilberry_busy_flows", m_core.BusyFlows());
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -29,6 +29,8 @@
       return RefusalReason::Draining;
     case ReturnReason::Silent:
       return RefusalReason::ServerUnreachable;
+    case ReturnReason::Failing:
+      return RefusalReason::ServerFailed;
     case ReturnReason::WrongService:
       return RefusalReason::UnknownService;
     case ReturnReason::NotOwner:
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -58,6 +58,8 @@
     "journal_every_ms", aSettings.m_journalEvery, kMinTime);
   aSettings.m_maxFlowAge =
     aFields.OptionalTime("max_flow_ms", aSettings.m_maxFlowAge, kMinTime);
+  aSettings.m_ejectsFailingServer = aFields.OptionalBoolean(
+    "eject_failing_server", aSettings.m_ejectsFailingServer);
 }
 
 } // namespace
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -70,6 +70,9 @@
   Milliseconds m_journalEvery{ 60'000 };
   /** Agent: maximum lifetime of a flow. */
   Milliseconds m_maxFlowAge{ 60'000 };
+  /** Agent: stop new flows to a server that resets requests without an answer.
+   */
+  bool m_ejectsFailingServer = false;
 };
 
 /** Maximum number of log lines per second and event. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -133,6 +133,7 @@
   options.m_domain = server.m_domain;
   options.m_packets = { aIp, kPacketPort };
   options.m_heartbeatEvery = kHeartbeatEvery;
+  options.m_ejectsFailingServer = m_ejectsFailingServers;
   server.m_agent = std::make_unique<FlowAgent>(options, m_now);
 }
 
@@ -175,6 +176,12 @@
   m_servers.at(aIp).m_isHung = true;
 }
 
+void
+FakeFlowNet::SetResetsRequests(uint32_t aIp, bool aResets)
+{
+  m_servers.at(aIp).m_resetsRequests = aResets;
+}
+
 void
 FakeFlowNet::Heartbeat(Server& aServer)
 {
@@ -512,6 +519,9 @@
   }
   if (aHeader.m_length > 0 && !found->second.m_hasRequest) {
     found->second.m_hasRequest = true;
+    if (aServer.m_resetsRequests) {
+      return SendFromServer(aServer, key, kReset, found->second.m_seq + 1, 0);
+    }
     if (aServer.m_queue.size() >= m_serverQueue) {
       flow.m_state = FlowState::Shed;
       return SendFromServer(
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -72,6 +72,9 @@
   void Drain(uint32_t aIp);
   /** The server stops answering; its agent keeps running. */
   void HangServer(uint32_t aIp);
+  /** Sets whether the server resets each request without an answer, while it
+   * still accepts flows and sends heartbeats. */
+  void SetResetsRequests(uint32_t aIp, bool aResets);
   /** Sets the probability that a packet or message is lost. */
   void SetLoss(double aLoss) { m_loss = aLoss; }
 
@@ -102,6 +105,9 @@
 
   /** Requests that may wait at a server before it sheds further ones. */
   size_t m_serverQueue = 16;
+  /** Agents stop new flows to servers that reset requests; to be set before
+   * AddServer. */
+  bool m_ejectsFailingServers = false;
   /** Time after which a caller gives up silently. */
   Duration m_callerTimeout = Seconds(60);
   /** Time that a request takes at a server. */
@@ -124,6 +130,7 @@
     uint64_t m_sequence = 0;
     bool m_isDraining = false;
     bool m_isHung = false;
+    bool m_resetsRequests = false;
     bool m_isGone = false;
     uint32_t m_running = 0;
     uint32_t m_synCount = 0;
