Bound and pace the new flows of a server that has just started

A cold server got as many new flows as a warm one, and a server that had started or recovered got its full load at once, whatever it answered.

The agent now counts the SYN packets that it admits in a sliding window and keeps a cold server at warmup-per-s x warmup_overage + warmup_slack. For services with a declared warm-up time, the number of flows at a time starts at one and grows with the server's responses in good time. The balancers pass the declared values on in their subscriptions. server-first-seconds shows the effect in the log, with the pace on or off.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -1,5 +1,7 @@
 #include "FlowAgent.h"
 
+#include "CountedMean.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,6 +44,7 @@
                 {},
                 {} },
               aStart)
+  , m_startup(m_options.m_startup, aStart)
 {
 }
 
@@ -56,10 +59,11 @@
 }
 
 LoadTag
-FlowAgent::Load() const
+FlowAgent::Load(TimePoint aNow) const
 {
-  return { static_cast<uint16_t>(std::min<uint32_t>(Demand(), UINT16_MAX)),
-           static_cast<uint16_t>(std::min<uint32_t>(Slots(), UINT16_MAX)) };
+  auto [busy, slots] = Reported(aNow);
+  return { static_cast<uint16_t>(std::min<uint32_t>(busy, UINT16_MAX)),
+           static_cast<uint16_t>(std::min<uint32_t>(slots, UINT16_MAX)) };
 }
 
 uint32_t
@@ -76,9 +80,18 @@
   return m_busy + static_cast<uint32_t>(m_synQueue.FirstTransmissions());
 }
 
+ReportedSlots
+FlowAgent::Reported(TimePoint aNow) const
+{
+  return m_startup.Report(aNow, m_busy, Demand() - m_busy, Slots(), m_answerUs);
+}
+
 AgentDecision
 FlowAgent::ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp)
 {
+  if (aReason == ReturnReason::Full) {
+    m_startup.OnReturned();
+  }
   m_returnCounts[static_cast<size_t>(aReason)] += 1;
   return { FlowAgentAction::Return, aReason, aBalancerIp };
 }
@@ -165,10 +178,16 @@
   if (m_synQueue.Contains(key)) {
     return Enqueue(aNow, std::move(syn));
   }
-  if (HasNoFreeSlot() && Demand() >= mark.m_busyLimit) {
+  if (m_startup.IsColdLimitReached(aNow)) {
+    m_startup.OnColdLimited();
+  }
+  if (HasNoFreeSlot(aNow) && Reported(aNow).m_busy >= mark.m_busyLimit) {
     return ReturnPacket(ReturnReason::Full, aBalancerIp);
   }
-  if (!CanAdmit()) {
+  // The bound of a cold server can allow a flow between two packets, while SYNs
+  // still wait; the queue then decides which one is next.
+  bool isOvertaking = m_startup.IsColdLimited(aNow) && m_synQueue.Size() > 0;
+  if (isOvertaking || !CanAdmit(aNow)) {
     return Enqueue(aNow, std::move(syn));
   }
   Admit(aNow, syn);
@@ -178,9 +197,10 @@
 // A server answers in the order of arrival. Flows beyond the limit would delay
 // callers that arrive later and could still be answered in time.
 bool
-FlowAgent::CanAdmit() const
+FlowAgent::CanAdmit(TimePoint aNow) const
 {
-  return m_busy < m_flowLimit.MaxFlows(Slots());
+  return m_busy < m_flowLimit.MaxFlows(Slots()) && !m_startup.IsPaceReached() &&
+         !m_startup.IsColdLimitReached(aNow);
 }
 
 void
@@ -190,6 +210,9 @@
   m_bouncedFlows.Erase(key);
   Flow& flow = m_flows.Insert(key, {});
   flow.m_busySince = aNow;
+  flow.m_startNumber = m_startup.Number();
+  m_startup.CountFlows(flow.m_startNumber, 1, 0);
+  m_startup.OnAdmitted(aNow);
   m_busy += 1;
   m_admittedFlows += 1;
   m_busyEntries.push_back({ aNow, key });
@@ -231,7 +254,7 @@
       m_dequeuedSyns.push_back({ decision, std::move(syn) });
     }
   }
-  while (m_synQueue.Size() > 0 && CanAdmit()) {
+  while (m_synQueue.Size() > 0 && CanAdmit(aNow)) {
     QueuedSyn syn = *m_synQueue.TakeNext(aNow);
     Admit(aNow, syn);
     m_dequeuedSyns.push_back({ { FlowAgentAction::Deliver }, std::move(syn) });
@@ -244,8 +267,11 @@
 // Counted in full they would make idle servers look full, and the returned
 // packets would slow the balancers down further.
 bool
-FlowAgent::HasNoFreeSlot() const
+FlowAgent::HasNoFreeSlot(TimePoint aNow) const
 {
+  if (m_startup.IsPaceReached() || m_startup.IsColdLimitReached(aNow)) {
+    return true;
+  }
   constexpr uint32_t kRequestWeight = 2;
   uint32_t handshakes = m_busy - m_requested;
   return kRequestWeight * m_requested + handshakes >= kRequestWeight * Slots();
@@ -255,14 +281,16 @@
 FlowAgent::OnServerPacket(TimePoint aNow, const PacketHeader& aHeader)
 {
   if (aHeader.Has(kBounced)) {
-    return OnBounced(aHeader);
+    return OnBounced(aNow, aHeader);
   }
+  bool wasSilent = m_server.Condition(aNow) == ServerCondition::Silent;
+  m_startup.OnServerPacket(aNow, wasSilent);
   m_server.OnPacket(aNow);
   FlowKey key = aHeader.FlowFromServer();
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server has had the flow since before this agent started.
-    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {} });
+    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {}, 0 });
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
@@ -272,6 +300,9 @@
   if (aHeader.m_length > 0 && IsBusy(flow->m_phase)) {
     RecordAnswer(aNow, *flow);
   }
+  if (aHeader.Has(kReset) && flow->m_phase == Phase::Handshake) {
+    m_startup.OnRefused(aNow, flow->m_busySince);
+  }
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     decision.m_isLast = flow->m_phase != Phase::Closed;
     SetPhase(aNow, key, *flow, Phase::Closed);
@@ -291,6 +322,7 @@
     return;
   }
   m_server.OnPause(pause);
+  m_startup.OnPause(pause);
   for (SynEntry& syn : m_unansweredSyns) {
     syn.m_at += pause;
   }
@@ -323,16 +355,25 @@
   Duration time = aNow - aFlow.m_busySince;
   m_answerTimes.Add(time);
   auto sample = static_cast<double>(time.count());
-  m_answerUs = m_answerUs == 0
-                 ? sample
-                 : m_answerUs + kAnswerTimeWeight * (sample - m_answerUs);
+  if (m_answerCount) {
+    *m_answerCount += 1;
+    AddToMean(m_answerUs, *m_answerCount, sample, kAnswerTimeWeight);
+  } else {
+    m_answerUs = m_answerUs == 0
+                   ? sample
+                   : m_answerUs + kAnswerTimeWeight * (sample - m_answerUs);
+  }
+  Duration response = time;
   if (aFlow.m_phase == Phase::Requested) {
-    m_flowLimit.OnAnswer(aNow - aFlow.m_requestedAt);
+    response = aNow - aFlow.m_requestedAt;
+    m_flowLimit.OnAnswer(response);
   }
+  m_startup.OnAnswer(
+    aNow, aFlow.m_busySince, response, time, m_flowLimit.MaxFlows(Slots()));
 }
 
 AgentDecision
-FlowAgent::OnBounced(const PacketHeader& aHeader)
+FlowAgent::OnBounced(TimePoint aNow, const PacketHeader& aHeader)
 {
   FlowKey key = aHeader.FlowFromCaller();
   uint32_t balancerIp = aHeader.m_tag;
@@ -347,6 +388,9 @@
   // was open here was therefore lost with an earlier incarnation.
   bool wasOpenHere =
     flow->m_hasServerSeq && !BelongsToOtherServer(*flow, aHeader.m_ack);
+  if (aHeader.IsSyn()) {
+    m_startup.OnRefused(aNow, flow->m_busySince);
+  }
   SetPhase(TimePoint{}, key, *flow, Phase::Closed);
   m_flows.Erase(key);
   if (!aHeader.IsSyn() && wasOpenHere && !aHeader.Has(kReset)) {
@@ -363,8 +407,17 @@
 {
   bool wasBusy = IsBusy(aFlow.m_phase);
   bool isBusy = IsBusy(aPhase);
-  m_requested -= aFlow.m_phase == Phase::Requested ? 1 : 0;
-  m_requested += aPhase == Phase::Requested ? 1 : 0;
+  bool wasRequested = aFlow.m_phase == Phase::Requested;
+  bool isRequested = aPhase == Phase::Requested;
+  m_requested -= wasRequested ? 1 : 0;
+  m_requested += isRequested ? 1 : 0;
+  m_startup.CountFlows(
+    aFlow.m_startNumber, wasBusy ? -1 : 0, wasRequested ? -1 : 0);
+  if (isBusy && !wasBusy) {
+    aFlow.m_startNumber = m_startup.Number();
+  }
+  m_startup.CountFlows(
+    aFlow.m_startNumber, isBusy ? 1 : 0, isRequested ? 1 : 0);
   aFlow.m_phase = aPhase;
   if (isBusy && !wasBusy) {
     aFlow.m_busySince = aNow;
@@ -379,19 +432,42 @@
 HeartbeatResult
 FlowAgent::OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat)
 {
+  bool wasSilent = m_server.Condition(aNow) == ServerCondition::Silent;
   HeartbeatResult result = m_server.OnHeartbeat(aNow, aHeartbeat);
+  m_startup.OnHeartbeat(aNow, result, aHeartbeat.m_warmupLeft, wasSilent);
   if (result == HeartbeatResult::NewIncarnation) {
     m_sawIncarnationStart = true;
+    if (m_startup.IsPaceOn()) {
+      ReleaseLostRequests(aNow);
+      m_flowLimit = {};
+      m_answerUs = 0;
+      m_answerCount = 0;
+    }
   }
   return result;
 }
 
+// Their callers may be gone, so that nothing else ends them before
+// kBusyTimeout. Until then a ramp of one flow would see a full server.
+void
+FlowAgent::ReleaseLostRequests(TimePoint aNow)
+{
+  for (const BusyEntry& entry : m_busyEntries) {
+    Flow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_phase == Phase::Requested &&
+        flow->m_busySince == entry.m_since) {
+      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
+    }
+  }
+}
+
 void
 FlowAgent::OnSubscribe(TimePoint aNow,
                        uint32_t aBalancerIp,
                        const Subscribe& aMessage)
 {
   m_reports.OnSubscribe(aNow, aBalancerIp, aMessage);
+  m_startup.OnSubscribe(aMessage);
 }
 
 FlowAnswer
@@ -412,9 +488,8 @@
 ServerLoad
 FlowAgent::CurrentLoad(TimePoint aNow) const
 {
-  return {
-    Condition(aNow), Demand(), Slots(), static_cast<uint32_t>(m_answerUs)
-  };
+  auto [busy, slots] = Reported(aNow);
+  return { Condition(aNow), busy, slots, static_cast<uint32_t>(m_answerUs) };
 }
 
 DueReports
@@ -423,6 +498,7 @@
   AccountForPause(aNow);
   ExpireBusyFlows(aNow);
   ExpireUnconfirmedFlows(aNow);
+  m_startup.OnTick(aNow, Slots(), m_flowLimit.MaxFlows(Slots()));
   for (QueuedSyn& syn : m_synQueue.TakeExpired(aNow)) {
     RejectQueued(std::move(syn));
   }
@@ -479,9 +555,16 @@
     if (!flow || flow->m_phase != Phase::Handshake || flow->m_hasServerSeq) {
       continue;
     }
+    m_startup.OnRefused(aNow, flow->m_busySince);
+    // A SYN that an earlier incarnation did not answer says nothing about the
+    // current one.
+    bool isOfCurrentStart =
+      !m_startup.IsPaceOn() || flow->m_startNumber == m_startup.Number();
     SetPhase(aNow, syn.m_flow, *flow, Phase::Closed);
     m_flows.Erase(syn.m_flow);
-    m_server.OnSynTimeout();
+    if (isOfCurrentStart) {
+      m_server.OnSynTimeout();
+    }
     unanswered.push_back(syn);
   }
   return unanswered;
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -5,6 +5,7 @@
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "ReportSchedule.h"
+#include "ServerStartup.h"
 #include "ServerTracker.h"
 #include "SynQueue.h"
 
@@ -56,6 +57,7 @@
   Duration m_maxFlowAge = Seconds(60);
   /** Maximum number of flows per generation of the flow table. */
   size_t m_maxFlows = 100'000;
+  StartupOptions m_startup;
 };
 
 /** A SYN that the server has not answered. */
@@ -120,7 +122,11 @@
   ServerCondition Condition(TimePoint aNow) const;
 
   /** Current load, as sent with returned packets. */
-  LoadTag Load() const;
+  LoadTag Load(TimePoint aNow) const;
+
+  /** Admission after a start or recovery of the server. */
+  ServerStartup& Startup() { return m_startup; }
+  const ServerStartup& Startup() const { return m_startup; }
 
   /** True once after a balancer did not find this agent in the store, or when
    * no balancer has subscribed for a while. */
@@ -164,6 +170,8 @@
     uint32_t m_serverSeq = 0;
     TimePoint m_busySince;
     TimePoint m_requestedAt;
+    /** ServerStartup::Number() when the flow became busy. */
+    uint32_t m_startNumber = 0;
   };
 
   struct BusyEntry
@@ -185,16 +193,20 @@
                       uint32_t aBalancerIp);
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
-  AgentDecision OnBounced(const PacketHeader& aHeader);
+  /** Releases the slots of requests that a restarted server has lost. */
+  void ReleaseLostRequests(TimePoint aNow);
+  AgentDecision OnBounced(TimePoint aNow, const PacketHeader& aHeader);
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
   static bool IsBusy(Phase aPhase);
   /** True if a new flow would wait for a slot. */
-  bool HasNoFreeSlot() const;
+  bool HasNoFreeSlot(TimePoint aNow) const;
   /** True if the server may get one more flow. */
-  bool CanAdmit() const;
+  bool CanAdmit(TimePoint aNow) const;
   /** Busy flows at the server plus queued first transmissions. */
   uint32_t Demand() const;
+  /** Demand and slots as they are reported. */
+  ReportedSlots Reported(TimePoint aNow) const;
   uint32_t Slots() const;
   /** Adds a flow whose SYN goes to the server. */
   void Admit(TimePoint aNow, const QueuedSyn& aSyn);
@@ -223,6 +235,8 @@
   /** Flows whose request is at the server; part of m_busy. */
   uint32_t m_requested = 0;
   double m_answerUs = 0;
+  /** Answers in m_answerUs, if it was started anew for an incarnation. */
+  std::optional<uint32_t> m_answerCount;
   LatencyHistogram m_answerTimes;
   std::array<uint64_t, static_cast<size_t>(ReturnReason::Count)>
     m_returnCounts{};
@@ -237,6 +251,7 @@
   /** Results for the next TakeDequeuedSyns call. */
   std::vector<DequeuedSyn> m_dequeuedSyns;
   ReportSchedule m_reports;
+  ServerStartup m_startup;
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
 };
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -53,6 +53,13 @@
   return true;
 }
 
+const ServiceWarmups&
+FlowBalancer::Services() const
+{
+  static const ServiceWarmups none;
+  return m_routes ? m_routes->m_services : none;
+}
+
 // Flows that were placed under the earlier routes stay at their servers, so
 // searches have to cover the earlier services as well.
 void
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -102,6 +102,9 @@
   /** Version of the current routes; 0 before the first ones. */
   uint64_t RoutesVersion() const { return m_routes ? m_routes->m_version : 0; }
 
+  /** Warm-ups of the services under the current routes. */
+  const ServiceWarmups& Services() const;
+
   AgentList& Agents() { return m_agents; }
   const AgentList& Agents() const { return m_agents; }
 
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -103,6 +103,11 @@
   /** Service tag from the last report received from the agent; 0 before the
    * first one. */
   uint32_t m_reportedTag = 0;
+  /** Requests a second that a cold server of the agent's service can handle, as
+   * declared by m_routes; 0 if none is declared, negative if unknown. */
+  double m_coldRate = 0;
+  /** The configuration declares a warm-up time for the service. */
+  bool m_hasWarmup = false;
 
   bool operator==(const Subscribe&) const = default;
 
@@ -114,6 +119,8 @@
     aVisitor("a", aSelf.m_agents);
     aVisitor("l", aSelf.m_isListed);
     aVisitor("t", aSelf.m_reportedTag);
+    aVisitor.Optional("w", aSelf.m_coldRate);
+    aVisitor.Optional("y", aSelf.m_hasWarmup);
   }
 };
 
--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -67,7 +67,7 @@
       reported.m_condition != aLoad.m_condition) {
     return true;
   }
-  if (reported.m_busy == aLoad.m_busy) {
+  if (reported.m_busy == aLoad.m_busy && reported.m_slots == aLoad.m_slots) {
     return false;
   }
   bool hasFullnessChanged = IsFull(reported) != IsFull(aLoad);
--- a/packages/flow/RouteTable.cpp
+++ b/packages/flow/RouteTable.cpp
@@ -11,6 +11,17 @@
   return found == m_routes.end() ? nullptr : &found->second;
 }
 
+void
+KeepEarlierWarmups(ServiceWarmups& aServices, const ServiceWarmups& aEarlier)
+{
+  for (auto& [service, warmup] : aServices) {
+    auto earlier = aEarlier.find(service);
+    if (!warmup.IsKnown() && earlier != aEarlier.end()) {
+      warmup = earlier->second;
+    }
+  }
+}
+
 const std::string&
 ChooseTarget(const Route& aRoute, const FlowKey& aFlow)
 {
--- a/packages/flow/RouteTable.h
+++ b/packages/flow/RouteTable.h
@@ -34,11 +34,30 @@
   bool operator==(const Route&) const = default;
 };
 
+/** What the configuration declares on a service's servers after a start. */
+struct ServiceWarmup
+{
+  /** Rate of an entry that could not be read. */
+  static constexpr double kUnknownRate = -1;
+
+  /** Requests a second that a cold server can handle; 0 if none is declared. */
+  double m_perSecond = 0;
+  /** Time for which a server is cold after its start. */
+  Milliseconds m_duration{ 0 };
+
+  bool IsKnown() const { return m_perSecond >= 0; }
+  bool operator==(const ServiceWarmup&) const = default;
+};
+
+/** Maps a service to its warm-up. */
+using ServiceWarmups = absl::flat_hash_map<std::string, ServiceWarmup>;
+
 /** One immutable version of all routes. */
 struct RouteTable
 {
   uint64_t m_version = 0;
   absl::flat_hash_map<Endpoint, Route> m_routes;
+  ServiceWarmups m_services;
   /** Time without packets after which a flow may be evicted. */
   Milliseconds m_flowIdleTimeout{ 60'000 };
 
@@ -46,6 +65,11 @@
   const Route* Find(const Endpoint& aAddress) const;
 };
 
+/** Replaces the warm-ups that could not be read by those of aEarlier, if they
+ * are known there. */
+void
+KeepEarlierWarmups(ServiceWarmups& aServices, const ServiceWarmups& aEarlier);
+
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
 
 /** Selects the service for a new flow in proportion to the targets' weights.
--- a/packages/flow/SubscriptionSchedule.cpp
+++ b/packages/flow/SubscriptionSchedule.cpp
@@ -112,13 +112,26 @@
           IsReportOverdue(aNow, aAgent));
 }
 
+void
+SetWarmup(Subscribe& aMessage,
+          const ServiceWarmups& aServices,
+          const std::string& aService)
+{
+  auto found = aServices.find(aService);
+  if (found != aServices.end()) {
+    aMessage.m_coldRate = found->second.m_perSecond;
+    aMessage.m_hasWarmup = found->second.m_duration > Milliseconds(0);
+  }
+}
+
 } // namespace
 
 std::vector<DueSubscription>
 TakeDueSubscriptions(TimePoint aNow,
                      AgentList& aAgents,
                      const RoutesHolder& aRoutes,
-                     const AgentsHolder& aListed)
+                     const AgentsHolder& aListed,
+                     const ServiceWarmups& aServices)
 {
   SentSubscription next{ aNow, aRoutes.m_version, aListed.m_version };
   size_t all = aAgents.All().size();
@@ -140,6 +153,7 @@
     message.m_agents = aListed;
     message.m_isListed = agent.m_isListed;
     message.m_reportedTag = agent.m_lastReport ? agent.m_serviceTag : 0;
+    SetWarmup(message, aServices, agent.m_entry.m_service);
     due.push_back({ ip, message });
   }
   for (const DueSubscription& subscription : due) {
--- a/packages/flow/SubscriptionSchedule.h
+++ b/packages/flow/SubscriptionSchedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AgentList.h"
+#include "RouteTable.h"
 
 namespace bilberryfield {
 
@@ -17,12 +18,14 @@
 /**
  * Returns the subscriptions that are due at aNow, and records them in aAgents
  * as sent. Report intervals grow with the number of agents, so that the rate of
- * reports that the balancer receives stays bounded.
+ * reports that the balancer receives stays bounded. aServices belongs to the
+ * version of aRoutes.
  */
 std::vector<DueSubscription>
 TakeDueSubscriptions(TimePoint aNow,
                      AgentList& aAgents,
                      const RoutesHolder& aRoutes,
-                     const AgentsHolder& aListed);
+                     const AgentsHolder& aListed,
+                     const ServiceWarmups& aServices = {});
 
 } // namespace bilberryfield
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -26,6 +26,7 @@
   options.m_packets = aSettings.m_packetListen;
   options.m_heartbeatEvery = aSettings.m_heartbeatEvery;
   options.m_maxFlowAge = aSettings.m_maxFlowAge;
+  options.m_startup = aSettings.m_startup;
   return options;
 }
 
@@ -204,7 +205,7 @@
       { "reason", NameOf(kReturnReasonNames, aDecision.m_reason) },
       { "busy", m_core.BusyFlows() },
       { "waiting", m_core.QueuedSynCount() },
-      { "slots", m_core.Load().m_slots }
+      { "slots", m_core.Load(EventLoop::Now()).m_slots }
     };
     if (aHeader.IsSyn()) {
       fields["copy"] = aHeader.RetransmissionCount();
@@ -223,6 +224,13 @@
     [this](ReturnReason aReason) { return m_core.ReturnCount(aReason); });
   text.Add("bilberry_openings_total", m_core.AdmittedFlows());
   text.Add("bilberry_queued_openings_rejected_total", m_core.RejectedSyns());
+  const ServerStartup& startup = m_core.Startup();
+  text.Add("bilberry_cold_limited_total", startup.ColdLimitedCount());
+  text.Add("bilberry_ramp_limit", startup.RampLimit());
+  text.AddPerReason(
+    "bilberry_ramps_total", kRampReasonNames, [&](RampReason aReason) {
+      return startup.RampCount(aReason);
+    });
   text.Add("bilberry_flows", m_core.FlowCount());
   text.Add("bilberry_busy_flows", m_core.BusyFlows());
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
@@ -328,8 +336,9 @@
                               ReturnReason aReason,
                               std::span<uint8_t> aBytes)
 {
-  WriteSystemFields(
-    aBytes, m_core.Load().Pack(), static_cast<uint32_t>(aReason));
+  WriteSystemFields(aBytes,
+                    m_core.Load(EventLoop::Now()).Pack(),
+                    static_cast<uint32_t>(aReason));
   m_packetSocket->Send(aBytes, { aBalancerIp, m_settings.m_returnPort });
 }
 
@@ -364,6 +373,7 @@
     m_loggedCondition = condition;
   }
   DueReports due = m_core.OnTick(now);
+  LogStartup();
   ExecuteDequeuedSyns(now);
   m_control.SendToAll(due.m_reportRecipients, due.m_report);
   m_control.SendToAll(due.m_loadRecipients, due.m_load);
@@ -375,6 +385,31 @@
   }
 }
 
+void
+AgentDaemon::LogStartup()
+{
+  for (const RampEvent& event : m_core.Startup().TakeRampEvents()) {
+    Log(LogLevel::Info,
+        "server-ramp",
+        { { "state", event.m_isEnd ? "ended" : "begun" },
+          { "reason", NameOf(kRampReasonNames, event.m_reason) },
+          { "limit", event.m_limit },
+          { "cold_left_ms", ToMilliseconds(event.m_coldLeft) } });
+  }
+  for (const ServerSecond& second : m_core.Startup().TakeFirstSeconds()) {
+    Log(LogLevel::Info,
+        "server-first-seconds",
+        { { "second", second.m_second },
+          { "admitted", second.m_admitted },
+          { "answered", second.m_answered },
+          { "mean_answer_ms", ToMilliseconds(second.MeanAnswerTime()) },
+          { "max_answer_ms", ToMilliseconds(second.m_maxAnswerTime) },
+          { "busy_slots", second.MeanBusyShare() },
+          { "limit", second.m_limit },
+          { "returned", second.m_returned } });
+  }
+}
+
 void
 AgentDaemon::BeginShutdown()
 {
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -47,6 +47,8 @@
                    const PacketHeader& aHeader,
                    uint32_t aBalancerIp);
   void OnTick();
+  /** Logs ramps of the server and the figures of its first seconds. */
+  void LogStartup();
   void AppendToJournal(TimePoint aNow,
                        const AgentDecision& aDecision,
                        const PacketHeader& aHeader,
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -134,6 +134,10 @@
   for (const std::string& routeError : config->m_routeErrors) {
     Log(LogLevel::Warning, "route-rejected", { { "detail", routeError } });
   }
+  for (const std::string& serviceError : config->m_serviceErrors) {
+    Log(LogLevel::Warning, "warmup-rejected", { { "detail", serviceError } });
+  }
+  KeepEarlierWarmups(config->m_table.m_services, m_core.Services());
   uint64_t version = config->m_table.m_version;
   size_t count = config->m_table.m_routes.size();
   bool isAccepted = m_core.SetRoutes(
@@ -466,7 +470,8 @@
     TakeDueSubscriptions(EventLoop::Now(),
                          m_core.Agents(),
                          { m_core.RoutesVersion(), ownAddress },
-                         { m_core.Agents().Position(), ownAddress });
+                         { m_core.Agents().Position(), ownAddress },
+                         m_core.Services());
   for (const DueSubscription& subscription : subscriptions) {
     m_control.Send(subscription.m_agentIp, subscription.m_message);
   }
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -9,6 +9,10 @@
 
 constexpr Milliseconds kMinTime{ 1 };
 constexpr double kMinCpuShare = 0.001;
+constexpr double kMaxOverage = 1000;
+constexpr int64_t kMaxSlack = 1'000'000;
+/** Default that stands for a missing slack. */
+constexpr int64_t kNoSlack = -1;
 
 Endpoint
 ReadEndpoint(JsonFields& aFields, const std::string& aKey)
@@ -46,6 +50,26 @@
   return seeds;
 }
 
+// A template may leave out a bound of 0, so either of the two enables the limit
+// of cold servers.
+StartupOptions
+ReadStartupOptions(JsonFields& aFields)
+{
+  constexpr double kNoOverage = 0;
+  StartupOptions options;
+  double overage =
+    aFields.OptionalNumber("warmup_overage", kNoOverage, 1, kMaxOverage);
+  int64_t slack =
+    aFields.OptionalInteger("warmup_slack", kNoSlack, 0, kMaxSlack);
+  if (overage != kNoOverage || slack != kNoSlack) {
+    options.m_overage = std::max(overage, 1.0);
+    options.m_slack = static_cast<uint32_t>(std::max<int64_t>(slack, 0));
+  }
+  options.m_pace =
+    aFields.OptionalName("server_pace", kPaceModeNames, options.m_pace);
+  return options;
+}
+
 void
 ReadAgentFields(JsonFields& aFields, FlowSettings& aSettings)
 {
@@ -58,6 +82,7 @@
     "journal_every_ms", aSettings.m_journalEvery, kMinTime);
   aSettings.m_maxFlowAge =
     aFields.OptionalTime("max_flow_ms", aSettings.m_maxFlowAge, kMinTime);
+  aSettings.m_startup = ReadStartupOptions(aFields);
 }
 
 } // namespace
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -3,6 +3,7 @@
 #include "JsonFields.h"
 #include "Log.h"
 #include "Packet.h"
+#include "ServerStartup.h"
 #include "Time.h"
 
 #include <tl/expected.hpp>
@@ -70,6 +71,8 @@
   Milliseconds m_journalEvery{ 60'000 };
   /** Agent: maximum lifetime of a flow. */
   Milliseconds m_maxFlowAge{ 60'000 };
+  /** Agent: admission after a start or recovery of the server. */
+  StartupOptions m_startup;
 };
 
 /** Maximum number of log lines per second and event. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -133,6 +133,7 @@
   options.m_domain = server.m_domain;
   options.m_packets = { aIp, kPacketPort };
   options.m_heartbeatEvery = kHeartbeatEvery;
+  options.m_startup = m_startup;
   server.m_agent = std::make_unique<FlowAgent>(options, m_now);
 }
 
@@ -147,6 +148,16 @@
   server.m_running = 0;
 }
 
+void
+FakeFlowNet::StartCold(uint32_t aIp, Duration aWarmup)
+{
+  RestartServer(aIp);
+  Server& server = m_servers.at(aIp);
+  server.m_isHung = false;
+  server.m_coldUntil = m_now + aWarmup;
+  SendHeartbeat(server);
+}
+
 void
 FakeFlowNet::KillServer(uint32_t aIp)
 {
@@ -175,19 +186,27 @@
   m_servers.at(aIp).m_isHung = true;
 }
 
+void
+FakeFlowNet::SendHeartbeat(Server& aServer)
+{
+  Duration warmupLeft = std::max(aServer.m_coldUntil - m_now, Duration(0));
+  aServer.m_agent->OnHeartbeat(
+    m_now,
+    { "s",
+      aServer.m_incarnation,
+      ++aServer.m_sequence,
+      aServer.m_service,
+      {},
+      aServer.m_slots,
+      aServer.m_isDraining,
+      std::chrono::duration_cast<Milliseconds>(warmupLeft) });
+}
+
 void
 FakeFlowNet::Heartbeat(Server& aServer)
 {
   if (!aServer.m_isHung && !aServer.m_isGone) {
-    aServer.m_agent->OnHeartbeat(m_now,
-                                 { "s",
-                                   aServer.m_incarnation,
-                                   ++aServer.m_sequence,
-                                   aServer.m_service,
-                                   {},
-                                   aServer.m_slots,
-                                   aServer.m_isDraining,
-                                   {} });
+    SendHeartbeat(aServer);
   }
   uint32_t ip = aServer.m_ip;
   Schedule(kHeartbeatEvery, [this, ip] { Heartbeat(m_servers.at(ip)); });
@@ -198,6 +217,7 @@
 {
   RouteTable table;
   table.m_version = ++m_version;
+  table.m_services = m_warmups;
   for (const Route& route : aRoutes) {
     table.m_routes[route.m_address] = route;
   }
@@ -270,7 +290,11 @@
 {
   RoutesHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
   for (const DueSubscription& due :
-       TakeDueSubscriptions(m_now, aBalancer.m_core->Agents(), routes, {})) {
+       TakeDueSubscriptions(m_now,
+                            aBalancer.m_core->Agents(),
+                            routes,
+                            {},
+                            aBalancer.m_core->Services())) {
     SendDelayed([this, due, ip = aBalancer.m_ip] {
       Server& server = m_servers.at(due.m_agentIp);
       if (!server.m_isGone) {
@@ -465,7 +489,7 @@
                               PacketHeader aHeader)
 {
   m_returnCount += 1;
-  aHeader.m_tag = aServer.m_agent->Load().Pack();
+  aHeader.m_tag = aServer.m_agent->Load(m_now).Pack();
   aHeader.m_flags &= static_cast<uint8_t>(~kBounced);
   SendDelayed([this, aHeader, aBalancerIp, aReason, ip = aServer.m_ip] {
     size_t balancer = BalancerAt(aBalancerIp);
@@ -488,6 +512,7 @@
     aServer.m_synCount += 1;
     ServerFlow& state = aServer.m_flowStates[key];
     if (state.m_seq == 0) {
+      aServer.m_flowTimes.push_back(m_now);
       state.m_seq = static_cast<uint32_t>(m_random()) | 1U;
     }
     return SendFromServer(aServer, key, kSyn | kAck, state.m_seq, 0);
@@ -530,8 +555,9 @@
     FlowKey key = aServer.m_queue.front();
     aServer.m_queue.pop_front();
     aServer.m_running += 1;
+    bool isSlow = m_now < aServer.m_coldUntil && m_coldRequestTime.count() > 0;
     Schedule(
-      m_requestTime,
+      isSlow ? m_coldRequestTime : m_requestTime,
       [this, key, ip = aServer.m_ip, incarnation = aServer.m_incarnation] {
         Server& server = m_servers.at(ip);
         if (server.m_incarnation != incarnation || server.m_isGone ||
@@ -580,7 +606,12 @@
   } else if (aHeader.Has(kSyn) && flow.m_state == FlowState::Handshake) {
     flow.m_state = FlowState::Open;
     flow.m_serverSeq = aHeader.m_seq;
-    SendFromCaller(number, kAck, kRequestBytes);
+    if (m_callerDelay > Duration(0)) {
+      Schedule(m_callerDelay,
+               [this, number] { SendFromCaller(number, kAck, kRequestBytes); });
+    } else {
+      SendFromCaller(number, kAck, kRequestBytes);
+    }
     ScheduleRetransmission(number, Milliseconds(200));
   } else if (aHeader.m_length > 0 && flow.m_state == FlowState::Open) {
     flow.m_state = FlowState::Answered;
@@ -594,6 +625,12 @@
   return m_servers.at(aIp).m_synCount;
 }
 
+const std::vector<TimePoint>&
+FakeFlowNet::FlowTimesAt(uint32_t aIp) const
+{
+  return m_servers.at(aIp).m_flowTimes;
+}
+
 const std::string&
 FakeFlowNet::ServiceOf(uint32_t aIp) const
 {
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -66,6 +66,9 @@
   void RestartBalancer(size_t aBalancer);
   void RestartAgent(uint32_t aIp);
   void RestartServer(uint32_t aIp);
+  /** The server loses its state, runs again and sends its first heartbeat. It
+   * is cold for aWarmup. */
+  void StartCold(uint32_t aIp, Duration aWarmup);
   /** Stops the server and its agent without notice. */
   void KillServer(uint32_t aIp);
   /** The server reports that it drains. */
@@ -92,6 +95,9 @@
 
   /** Number of SYNs that reached the server at an address. */
   uint32_t SynCountAt(uint32_t aIp) const;
+  /** Times at which new flows reached the server at an address. */
+  const std::vector<TimePoint>& FlowTimesAt(uint32_t aIp) const;
+  FlowAgent& AgentAt(uint32_t aIp) { return *m_servers.at(aIp).m_agent; }
   const std::string& ServiceOf(uint32_t aIp) const;
   /** Largest number of requests that waited at one server at the same time. */
   size_t LongestQueue() const { return m_longestQueue; }
@@ -106,6 +112,14 @@
   Duration m_callerTimeout = Seconds(60);
   /** Time that a request takes at a server. */
   Duration m_requestTime = Milliseconds(20);
+  /** Time that a request takes at a cold server; zero: m_requestTime. */
+  Duration m_coldRequestTime{ 0 };
+  /** Time from the server's SYN-ACK at the caller to the caller's request. */
+  Duration m_callerDelay{ 0 };
+  /** Used by agents from their next restart on. */
+  StartupOptions m_startup;
+  /** Part of the routes from the next version on. */
+  ServiceWarmups m_warmups;
 
 private:
   struct ServerFlow
@@ -127,6 +141,8 @@
     bool m_isGone = false;
     uint32_t m_running = 0;
     uint32_t m_synCount = 0;
+    std::vector<TimePoint> m_flowTimes;
+    TimePoint m_coldUntil;
     std::deque<FlowKey> m_queue;
     std::map<FlowKey, ServerFlow> m_flowStates;
     std::unique_ptr<FlowAgent> m_agent;
@@ -152,6 +168,7 @@
   void SendDelayed(std::function<void()> aRun);
   void Tick();
   void Heartbeat(Server& aServer);
+  void SendHeartbeat(Server& aServer);
   void ListAgents(FlowBalancer& aCore);
   void StartBalancer(Node& aBalancer);
   void SendFromCaller(size_t aFlow, uint8_t aFlags, uint16_t aLength);
--- a/test/FullServer.h
+++ b/test/FullServer.h
@@ -77,6 +77,7 @@
   }
 
   FlowAgent& Agent() { return m_agent; }
+  LoadTag Load() const { return m_agent.Load(m_now); }
 
 private:
   static FlowAgentOptions Options()
--- a/test/correctness/QueuedSyns.cpp
+++ b/test/correctness/QueuedSyns.cpp
@@ -129,7 +129,7 @@
   cr_assert_eq(server.Agent().BusyFlows(), kSlots + 1);
   cr_assert(server.Open(kWaitingCaller, 0) == FlowAgentAction::Queue);
   cr_assert(server.TakeDequeuedSyns().empty());
-  cr_assert_eq(server.Agent().Load().m_busy, kSlots + 2);
+  cr_assert_eq(server.Load().m_busy, kSlots + 2);
   server.End(1);
   std::vector<DequeuedSyn> ends = server.TakeDequeuedSyns();
   cr_assert_eq(ends.size(), 1);
@@ -142,7 +142,7 @@
 {
   FullServer server(kSlots);
   server.Open(kWaitingCaller, 1);
-  cr_assert_eq(server.Agent().Load().m_busy, kSlots + 1);
+  cr_assert_eq(server.Load().m_busy, kSlots + 1);
 }
 
 Test(QueuedSyns, AreReturnedWhenTheServerDrains)
