Announce a ramp when the pace becomes known after the server's start

At the start of a VM the server's first heartbeat can come before any subscription. The ramp then applied, but was neither logged nor counted.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -467,7 +467,7 @@
                        const Subscribe& aMessage)
 {
   m_reports.OnSubscribe(aNow, aBalancerIp, aMessage);
-  m_startup.OnSubscribe(aMessage);
+  m_startup.OnSubscribe(aNow, aMessage);
 }
 
 FlowAnswer
--- a/packages/flow/ServerStartup.cpp
+++ b/packages/flow/ServerStartup.cpp
@@ -26,7 +26,7 @@
 // Balancers with the same version declare the same. A build that does not send
 // the fields declares nothing, and must not lift a bound of that version.
 void
-ServerStartup::OnSubscribe(const Subscribe& aMessage)
+ServerStartup::OnSubscribe(TimePoint aNow, const Subscribe& aMessage)
 {
   RoutesVersion version = aMessage.m_routes.m_version;
   bool isKnown = version > 0 && aMessage.m_coldRate >= 0;
@@ -41,6 +41,7 @@
   if (isNewer || aMessage.m_hasWarmup) {
     m_hasWarmup = aMessage.m_hasWarmup;
   }
+  AnnounceRamp(aNow);
 }
 
 void
@@ -102,8 +103,17 @@
   m_rampSince = aNow;
   m_rampReason = aReason;
   m_pace.Begin(aNow, aIsFailure);
-  if (IsPaceOn()) {
-    m_rampCounts[static_cast<size_t>(aReason)] += 1;
+  m_isRampAnnounced = false;
+  AnnounceRamp(aNow);
+}
+
+// A server can start before a balancer has told its agent that the pace applies
+// to it.
+void
+ServerStartup::AnnounceRamp(TimePoint aNow)
+{
+  if (IsPacing() && !std::exchange(m_isRampAnnounced, true)) {
+    m_rampCounts[static_cast<size_t>(m_rampReason)] += 1;
     AddEvent(aNow, false);
   }
 }
@@ -155,7 +165,7 @@
     return;
   }
   m_pace.OnAnswer(aResponse, aFullLimit);
-  if (!m_pace.IsRamping() && IsPaceOn()) {
+  if (!m_pace.IsRamping() && m_isRampAnnounced) {
     AddEvent(aNow, true);
   }
 }
--- a/packages/flow/ServerStartup.h
+++ b/packages/flow/ServerStartup.h
@@ -66,7 +66,7 @@
   }
 
   /** Adopts the declared warm-up of the newest version of the routes. */
-  void OnSubscribe(const Subscribe& aMessage);
+  void OnSubscribe(TimePoint aNow, const Subscribe& aMessage);
 
   /** Handles a heartbeat. aWasSilent: the server was silent until now. */
   void OnHeartbeat(TimePoint aNow,
@@ -142,6 +142,8 @@
   bool EndsSilence(TimePoint aNow, bool aWasSilent);
   void Begin(TimePoint aNow, RampReason aReason, bool aIsFailure);
   void BeginRamp(TimePoint aNow, RampReason aReason, bool aIsFailure);
+  /** Counts and logs a ramp once the pace applies to it. */
+  void AnnounceRamp(TimePoint aNow);
   void AddEvent(TimePoint aNow, bool aIsEnd);
   size_t ColdFlowsPerWindow() const;
 
@@ -161,6 +163,7 @@
   uint32_t m_requested = 0;
   TimePoint m_rampSince;
   RampReason m_rampReason = RampReason::Start;
+  bool m_isRampAnnounced = false;
   ColdStartLimit m_coldLimit;
   ServerPace m_pace;
   FirstSeconds m_firstSeconds;
--- a/test/correctness/ServerRamps.cpp
+++ b/test/correctness/ServerRamps.cpp
@@ -262,6 +262,23 @@
   cr_assert_eq(agent.Load(now).m_slots, 1);
 }
 
+// At the start of a VM the server's first heartbeat comes before any balancer's
+// subscription.
+Test(ServerRamps, BeginWhenABalancerTellsOfTheWarmup)
+{
+  ServerStartup startup({}, kStart);
+  startup.OnHeartbeat(kStart, HeartbeatResult::NewIncarnation, {}, false);
+  cr_assert_eq(startup.RampLimit(), 0);
+  Subscribe message;
+  message.m_routes.m_version = 1;
+  message.m_hasWarmup = true;
+  startup.OnSubscribe(kStart, message);
+  startup.OnSubscribe(kStart, message);
+  cr_assert_eq(startup.RampLimit(), 1);
+  cr_assert_eq(startup.TakeRampEvents().size(), 1);
+  cr_assert_eq(startup.RampCount(RampReason::Start), 1);
+}
+
 // The short answer times of the earlier incarnation would hide that a server is
 // slow after its restart, and its lost requests would look like load.
 Test(ServerRamps, StartMeansAndLoadAnew)
