--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -328,6 +328,26 @@
   return number;
 }
 
+void
+FakeFlowNet::OpenFlows(const Endpoint& aService, int aPerSecond, Duration aTime)
+{
+  Duration gap = Duration(Seconds(1)) / aPerSecond;
+  for (Duration elapsed{ 0 }; elapsed < aTime; elapsed += gap) {
+    OpenFlow(aService);
+    RunFor(gap);
+  }
+}
+
+size_t
+FakeFlowNet::LateFlows(size_t aFirst) const
+{
+  auto first = m_flows.begin() + static_cast<ptrdiff_t>(aFirst);
+  return static_cast<size_t>(std::count_if(first, m_flows.end(), [](auto& aIt) {
+    return aIt.m_state != FlowState::Answered ||
+           aIt.m_answeredAt - aIt.m_openedAt > Milliseconds(150);
+  }));
+}
+
 // Retransmits the SYN, and after the handshake the request, until an answer
 // arrives.
 void
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -82,6 +82,9 @@
    */
   size_t OpenFlow(const Endpoint& aService);
 
+  /** Opens flows at a constant rate for aTime. */
+  void OpenFlows(const Endpoint& aService, int aPerSecond, Duration aTime);
+
   /** Runs the events of the next aTime. */
   void RunFor(Duration aTime);
 
@@ -93,6 +96,10 @@
   }
   TimePoint Now() const { return m_now; }
 
+  /** Number of flows from number aFirst on that were not answered within 150
+   * ms.
+   */
+  size_t LateFlows(size_t aFirst) const;
   /** Number of SYNs that reached the server at an address. */
   uint32_t SynCountAt(uint32_t aIp) const;
   /** Times at which new flows reached the server at an address. */
