--- a/test/correctness/ServerRamps.cpp
+++ b/test/correctness/ServerRamps.cpp
@@ -144,9 +144,10 @@
                 flows[3]);
 }
 
-// A burst when a server that hung returns would make it hang again. An agent
-// that starts beside a running server has no reason for a ramp.
-Test(ServerRamps, FollowARecoveryOnly)
+// A burst when a server that hung returns, or refuses a flow after that, would
+// make it hang again. An agent that starts beside a running server has no
+// reason for a ramp.
+Test(ServerRamps, FollowARecoveryAndARefusal)
 {
   FlowAgentOptions options;
   options.m_service = "desk";
@@ -164,6 +165,15 @@
   agent.OnHeartbeat(now, { "s", 1, 8, "desk", {}, kSlots, false, {} });
   cr_assert_eq(agent.Startup().RampCount(RampReason::Recovered), 1);
   cr_assert_eq(agent.Load(now).m_slots, 1);
+  PacketHeader syn = SynPacket();
+  for (uint16_t caller : { 2000, 2000, 2001 }) {
+    syn.m_source.m_port = caller;
+    syn.m_flags = kSyn;
+    agent.OnBalancerPacket(now, syn, {}, 7);
+    syn.m_flags = kSyn | kBounced;
+    agent.OnServerPacket(now, syn);
+  }
+  cr_assert_eq(agent.Startup().RampCount(RampReason::Refused), 3);
 }
 
 // The short answer times of the earlier incarnation would hide that a server is
