Merge: bound and pace of servers that have just started

Declared rates of cold servers bound new flows at the agent; without one the flows at a server that has started or recovered grow with its answers. test_correctness after the merge with the circuit breaker: all passed.

--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -3,6 +3,7 @@
 #include "JsonFields.h"
 #include "Log.h"
 #include "Packet.h"
+#include "ServerStartup.h"
 #include "Time.h"
 
 #include <tl/expected.hpp>
@@ -73,6 +74,8 @@
   /** Agent: stop new flows to a server that resets requests without an answer.
    */
   bool m_ejectsFailingServer = false;
+  /** Agent: admission after a start or recovery of the server. */
+  StartupOptions m_startup;
 };
 
 /** Maximum number of log lines per second and event. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -134,6 +134,7 @@
   options.m_packets = { aIp, kPacketPort };
   options.m_heartbeatEvery = kHeartbeatEvery;
   options.m_ejectsFailingServer = m_ejectsFailingServers;
+  options.m_startup = m_startup;
   server.m_agent = std::make_unique<FlowAgent>(options, m_now);
 }
 
@@ -148,6 +149,16 @@
   server.m_running = 0;
 }
 
+void
+FakeFlowNet::StartCold(uint32_t aIp, Duration aWarmup)
+{
+  RestartServer(aIp);
+  Server& server = m_servers.at(aIp);
+  server.m_isHung = false;
+  server.m_coldUntil = m_now + aWarmup;
+  SendHeartbeat(server);
+}
+
 void
 FakeFlowNet::KillServer(uint32_t aIp)
 {
@@ -182,19 +193,27 @@
   m_servers.at(aIp).m_resetsRequests = aResets;
 }
 
+void
+FakeFlowNet::SendHeartbeat(Server& aServer)
+{
+  Duration warmupLeft = std::max(aServer.m_coldUntil - m_now, Duration(0));
+  aServer.m_agent->OnHeartbeat(
+    m_now,
+    { "s",
+      aServer.m_incarnation,
+      ++aServer.m_sequence,
+      aServer.m_service,
+      {},
+      aServer.m_slots,
+      aServer.m_isDraining,
+      std::chrono::duration_cast<Milliseconds>(warmupLeft) });
+}
+
 void
 FakeFlowNet::Heartbeat(Server& aServer)
 {
   if (!aServer.m_isHung && !aServer.m_isGone) {
-    aServer.m_agent->OnHeartbeat(m_now,
-                                 { "s",
-                                   aServer.m_incarnation,
-                                   ++aServer.m_sequence,
-                                   aServer.m_service,
-                                   {},
-                                   aServer.m_slots,
-                                   aServer.m_isDraining,
-                                   {} });
+    SendHeartbeat(aServer);
   }
   uint32_t ip = aServer.m_ip;
   Schedule(kHeartbeatEvery, [this, ip] { Heartbeat(m_servers.at(ip)); });
@@ -205,6 +224,7 @@
 {
   RouteTable table;
   table.m_version = ++m_version;
+  table.m_services = m_warmups;
   for (const Route& route : aRoutes) {
     table.m_routes[route.m_address] = route;
   }
@@ -277,7 +297,11 @@
 {
   RoutesHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
   for (const DueSubscription& due :
-       TakeDueSubscriptions(m_now, aBalancer.m_core->Agents(), routes, {})) {
+       TakeDueSubscriptions(m_now,
+                            aBalancer.m_core->Agents(),
+                            routes,
+                            {},
+                            aBalancer.m_core->Services())) {
     SendDelayed([this, due, ip = aBalancer.m_ip] {
       Server& server = m_servers.at(due.m_agentIp);
       if (!server.m_isGone) {
@@ -311,6 +335,26 @@
   return number;
 }
 
+void
+FakeFlowNet::OpenFlows(const Endpoint& aService, int aPerSecond, Duration aTime)
+{
+  Duration gap = Duration(Seconds(1)) / aPerSecond;
+  for (Duration elapsed{ 0 }; elapsed < aTime; elapsed += gap) {
+    OpenFlow(aService);
+    RunFor(gap);
+  }
+}
+
+size_t
+FakeFlowNet::LateFlows(size_t aFirst) const
+{
+  auto first = m_flows.begin() + static_cast<ptrdiff_t>(aFirst);
+  return static_cast<size_t>(std::count_if(first, m_flows.end(), [](auto& aIt) {
+    return aIt.m_state != FlowState::Answered ||
+           aIt.m_answeredAt - aIt.m_openedAt > Milliseconds(150);
+  }));
+}
+
 // Retransmits the SYN, and after the handshake the request, until an answer
 // arrives.
 void
@@ -472,7 +516,7 @@
                               PacketHeader aHeader)
 {
   m_returnCount += 1;
-  aHeader.m_tag = aServer.m_agent->Load().Pack();
+  aHeader.m_tag = aServer.m_agent->Load(m_now).Pack();
   aHeader.m_flags &= static_cast<uint8_t>(~kBounced);
   SendDelayed([this, aHeader, aBalancerIp, aReason, ip = aServer.m_ip] {
     size_t balancer = BalancerAt(aBalancerIp);
@@ -495,6 +539,7 @@
     aServer.m_synCount += 1;
     ServerFlow& state = aServer.m_flowStates[key];
     if (state.m_seq == 0) {
+      aServer.m_flowTimes.push_back(m_now);
       state.m_seq = static_cast<uint32_t>(m_random()) | 1U;
     }
     return SendFromServer(aServer, key, kSyn | kAck, state.m_seq, 0);
@@ -540,8 +585,9 @@
     FlowKey key = aServer.m_queue.front();
     aServer.m_queue.pop_front();
     aServer.m_running += 1;
+    bool isSlow = m_now < aServer.m_coldUntil && m_coldRequestTime.count() > 0;
     Schedule(
-      m_requestTime,
+      isSlow ? m_coldRequestTime : m_requestTime,
       [this, key, ip = aServer.m_ip, incarnation = aServer.m_incarnation] {
         Server& server = m_servers.at(ip);
         if (server.m_incarnation != incarnation || server.m_isGone ||
@@ -590,7 +636,12 @@
   } else if (aHeader.Has(kSyn) && flow.m_state == FlowState::Handshake) {
     flow.m_state = FlowState::Open;
     flow.m_serverSeq = aHeader.m_seq;
-    SendFromCaller(number, kAck, kRequestBytes);
+    if (m_callerDelay > Duration(0)) {
+      Schedule(m_callerDelay,
+               [this, number] { SendFromCaller(number, kAck, kRequestBytes); });
+    } else {
+      SendFromCaller(number, kAck, kRequestBytes);
+    }
     ScheduleRetransmission(number, Milliseconds(200));
   } else if (aHeader.m_length > 0 && flow.m_state == FlowState::Open) {
     flow.m_state = FlowState::Answered;
@@ -604,6 +655,12 @@
   return m_servers.at(aIp).m_synCount;
 }
 
+const std::vector<TimePoint>&
+FakeFlowNet::FlowTimesAt(uint32_t aIp) const
+{
+  return m_servers.at(aIp).m_flowTimes;
+}
+
 const std::string&
 FakeFlowNet::ServiceOf(uint32_t aIp) const
 {
