Stand-ins: failure domains, evacuations and cold servers

The packet path's cluster had one failure domain and servers that are warm from their start. It can now have several domains, evacuate one and return it to service through the store, declare a warm-up and start cold servers. The server stand-in records the arrival of each new flow's SYN packet and the remaining warm-up time. The daemons' settings are written once kHasHardLoadSettings is true: bilberryd rejects a settings file with an unknown key.

--- a/standins/FlowCallers.cpp
+++ b/standins/FlowCallers.cpp
@@ -145,7 +145,9 @@
   std::vector<uint8_t> bytes(head.begin(), head.end());
   bytes.resize(bytes.size() + header.m_length);
   size_t hash = aKey.m_caller.m_port * size_t{ 2654435761U } >> 8U;
-  Endpoint to = m_targets[ready[hash % ready.size()]].m_packets;
+  size_t target = ready[hash % ready.size()];
+  m_sentTo[ToText(aKey)].insert(target);
+  Endpoint to = m_targets[target].m_packets;
   Travel([this, bytes, to] { m_socket->Send(bytes, to); });
 }
 
--- a/standins/FlowCallers.h
+++ b/standins/FlowCallers.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace bilberryfield {
@@ -73,6 +74,13 @@
   /** Flows that were not answered; to be called after Stop. */
   const std::vector<FailedFlow>& Failed() const { return m_failed; }
 
+  /** Balancers to which packets of a flow were sent, by the flow's text; to be
+   * called after Stop. */
+  const std::map<std::string, std::set<size_t>>& SentTo() const
+  {
+    return m_sentTo;
+  }
+
   /** Waits for the flows that are open, then tells how all ended. */
   FlowTally Stop();
 
@@ -106,6 +114,7 @@
   FlowTally m_tally;
   LinkTroubles m_troubles;
   std::vector<FailedFlow> m_failed;
+  std::map<std::string, std::set<size_t>> m_sentTo;
   std::atomic<size_t> m_readyCount{ 0 };
   std::atomic<size_t> m_openCount{ 0 };
   std::atomic<bool> m_isStarting{ false };
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -6,9 +6,11 @@
 #include "OperatorConfig.h"
 #include "WaitForStore.h"
 
+#include <deque>
 #include <fstream>
 #include <random>
 #include <set>
+#include <sstream>
 
 namespace bilberryfield {
 
@@ -32,6 +34,23 @@
   kPortCount,
 };
 
+// The operator's requests; the product has a name of its own for this kind.
+constexpr const char* kEvacuationObjects = "evacuations";
+
+// An answer may be lost, so a write is repeated; it has the same effect.
+void
+RepeatUntilStored(const std::function<bool()>& aWrite)
+{
+  constexpr int kTries = 20;
+  for (int i = 0; i < kTries; ++i) {
+    if (aWrite()) {
+      return;
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+  }
+  throw std::runtime_error("the store acknowledged no write");
+}
+
 // Test programs run beside each other, so each cluster draws its ports.
 uint16_t
 DrawPort()
@@ -45,6 +64,26 @@
 
 } // namespace
 
+size_t
+MostColdArrivals(const std::vector<FlowArrival>& aArrivals)
+{
+  constexpr Duration kSpan = Seconds(1);
+  size_t most = 0;
+  std::map<size_t, std::deque<TimePoint>> recent;
+  for (const FlowArrival& arrival : aArrivals) {
+    if (!arrival.m_isCold) {
+      continue;
+    }
+    std::deque<TimePoint>& times = recent[arrival.m_server];
+    times.push_back(arrival.m_at);
+    while (times.front() + kSpan <= arrival.m_at) {
+      times.pop_front();
+    }
+    most = std::max(most, times.size());
+  }
+  return most;
+}
+
 FlowCluster::FlowCluster(std::string aBuild, int aBalancers, int aServers)
   : m_build(std::move(aBuild))
   , m_port(DrawPort())
@@ -109,14 +148,15 @@
 std::string
 FlowCluster::SettingsText(const std::string& aName,
                           FlowRole aRole,
-                          uint32_t aIp) const
+                          uint32_t aIp,
+                          size_t aIndex) const
 {
   auto at = [&](PortOffset aOffset) {
     return ToText(Endpoint{ aIp, static_cast<uint16_t>(m_port + aOffset) });
   };
   nlohmann::json settings = { { "role", NameOf(kFlowRoleNames, aRole) },
                               { "id", aName },
-                              { "failure_domain", "a" },
+                              { "failure_domain", DomainOf(aIndex) },
                               { "packet_listen", at(kPackets) },
                               { "admin_listen", at(kAdmin) },
                               { "metrics_listen", at(kMetrics) },
@@ -128,6 +168,10 @@
     settings["server"] = at(kApp);
     settings["service"] = "desk";
     settings["heartbeat_ms"] = 200;
+    if (kHasHardLoadSettings && m_warmup) {
+      settings["warmup_overage"] = m_warmup->m_overage;
+      settings["warmup_slack"] = m_warmup->m_slack;
+    }
   } else {
     settings["readiness_listen"] = at(kReadiness);
     nlohmann::json seeds = nlohmann::json::array();
@@ -137,6 +181,9 @@
     }
     settings["seeds"] = seeds;
     settings["stale_entry_ms"] = m_staleEntryAfter.count();
+    if (kHasHardLoadSettings && m_hasEvacuations) {
+      settings["evacuations"] = true;
+    }
   }
   settings["shutdown_limit_ms"] = m_shutdownLimit.count();
   return settings.dump(2);
@@ -180,15 +227,14 @@
     table.m_routes[route.m_address] = route;
   }
   nlohmann::json content = EncodeOperatorConfig(table);
-  // An answer may be lost, so the write is repeated; it has the same effect.
-  constexpr int kTries = 20;
-  for (int i = 0; i < kTries; ++i) {
-    if (StoreConfiguration(content, m_version == 1 && i == 0)) {
-      return;
-    }
-    std::this_thread::sleep_for(Milliseconds(100));
+  if (m_warmup) {
+    content["services"] = { { { "name", "desk" },
+                              { "warmup-s", m_warmup->m_duration.count() },
+                              { "warmup-per-s", m_warmup->m_perSecond } } };
   }
-  throw std::runtime_error("the configuration was not stored");
+  bool isFirst = m_version == 1;
+  RepeatUntilStored(
+    [&] { return StoreConfiguration(content, std::exchange(isFirst, false)); });
 }
 
 bool
@@ -205,6 +251,40 @@
   return written && written->m_outcome == StoreWrite::Outcome::Stored;
 }
 
+TimePoint
+FlowCluster::Evacuate(const std::string& aDomain)
+{
+  StoreClient store(m_storeAddress);
+  RepeatUntilStored([&] {
+    return WaitForStore<StoreWrite>([&](auto aOnEnd) {
+             store.Create(
+               kEvacuationObjects, aDomain, nlohmann::json::object(), aOnEnd);
+           })
+      .has_value();
+  });
+  return EventLoop::Now();
+}
+
+TimePoint
+FlowCluster::ReturnToService(const std::string& aDomain)
+{
+  TimePoint last = EventLoop::Now();
+  StoreClient store(m_storeAddress);
+  RepeatUntilStored([&] {
+    return WaitForStore<StoreWrite>([&](auto aOnEnd) {
+             store.Remove(kEvacuationObjects, aDomain, aOnEnd);
+           })
+      .has_value();
+  });
+  return last;
+}
+
+std::string
+FlowCluster::DomainOf(size_t aIndex) const
+{
+  return std::string(1, static_cast<char>('a' + aIndex % m_domains));
+}
+
 void
 FlowCluster::SetStoreOutage(bool aIsOut)
 {
@@ -269,26 +349,71 @@
   return names;
 }
 
-std::vector<std::string>
-FlowCluster::RunTwice() const
+void
+FlowCluster::ForEachServerLine(
+  const std::function<void(size_t, const std::string&)>& aVisit) const
 {
-  std::vector<std::string> twice;
-  std::set<std::string> seen;
+  const std::string prefix = "server-";
   for (const auto& entry : std::filesystem::directory_iterator(m_folder)) {
-    if (!entry.path().filename().string().starts_with("server-")) {
+    std::string name = entry.path().filename().string();
+    if (!name.starts_with(prefix)) {
       continue;
     }
+    size_t server = std::stoul(name.substr(prefix.size()));
     std::ifstream log(entry.path());
     std::string line;
     while (std::getline(log, line)) {
-      if (line.starts_with("ran ") && !seen.insert(line).second) {
-        twice.push_back(line);
-      }
+      aVisit(server, line);
     }
   }
+}
+
+std::vector<std::string>
+FlowCluster::RunTwice() const
+{
+  std::vector<std::string> twice;
+  std::set<std::string> seen;
+  ForEachServerLine([&](size_t, const std::string& aLine) {
+    if (aLine.starts_with("ran ") && !seen.insert(aLine).second) {
+      twice.push_back(aLine);
+    }
+  });
   return twice;
 }
 
+std::vector<FlowArrival>
+FlowCluster::Arrivals() const
+{
+  std::vector<FlowArrival> arrivals;
+  ForEachServerLine([&](size_t aServer, const std::string& aLine) {
+    std::istringstream fields(aLine);
+    std::string event;
+    Duration::rep at = 0;
+    FlowArrival arrival;
+    arrival.m_server = aServer;
+    fields >> event >> at >> arrival.m_isCold >> arrival.m_flow;
+    if (fields && event == "syn") {
+      arrival.m_at = TimePoint(Duration(at));
+      arrivals.push_back(arrival);
+    }
+  });
+  std::ranges::sort(arrivals, {}, &FlowArrival::m_at);
+  return arrivals;
+}
+
+size_t
+FlowCluster::CountArrivals(const std::string& aDomain,
+                           TimePoint aFrom,
+                           TimePoint aTo) const
+{
+  std::vector<FlowArrival> arrivals = Arrivals();
+  return static_cast<size_t>(
+    std::ranges::count_if(arrivals, [&](const FlowArrival& aArrival) {
+      return DomainOf(aArrival.m_server) == aDomain && aArrival.m_at >= aFrom &&
+             aArrival.m_at < aTo;
+    }));
+}
+
 void
 FlowCluster::KeepLogs(const std::filesystem::path& aFolder) const
 {
@@ -306,32 +431,34 @@
 }
 
 Process
-FlowCluster::RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp)
+FlowCluster::RunDaemon(FlowRole aRole, uint32_t aIp, size_t aIndex)
 {
-  std::string path = WriteSettings(aName, SettingsText(aName, aRole, aIp));
-  return Run(LogName(aName),
+  std::string name = aRole == FlowRole::Agent ? "agent-" : "balancer-";
+  name += std::to_string(aIndex);
+  std::string path =
+    WriteSettings(name, SettingsText(name, aRole, aIp, aIndex));
+  return Run(LogName(name),
              { m_build + "/packages/control/bilberryd", "--settings=" + path });
 }
 
 void
 FlowCluster::StartBalancer(size_t aIndex)
 {
-  m_balancers[aIndex] = RunDaemon(FlowRole::Balancer,
-                                  "balancer-" + std::to_string(aIndex),
-                                  kBalancerNet + static_cast<uint32_t>(aIndex));
+  m_balancers[aIndex] = RunDaemon(
+    FlowRole::Balancer, kBalancerNet + static_cast<uint32_t>(aIndex), aIndex);
 }
 
 void
 FlowCluster::StartAgent(size_t aIndex)
 {
-  m_agents[aIndex] = RunDaemon(FlowRole::Agent,
-                               "agent-" + std::to_string(aIndex),
-                               kServerNet + static_cast<uint32_t>(aIndex));
+  m_agents[aIndex] = RunDaemon(
+    FlowRole::Agent, kServerNet + static_cast<uint32_t>(aIndex), aIndex);
 }
 
 void
-FlowCluster::StartServer(size_t aIndex)
+FlowCluster::StartServer(size_t aIndex, bool aIsCold)
 {
+  Milliseconds warmup = aIsCold ? m_warmup.value().m_duration : Seconds(0);
   auto at = [&](PortOffset aOffset) {
     return ToText(Endpoint{ kServerNet + static_cast<uint32_t>(aIndex),
                             static_cast<uint16_t>(m_port + aOffset) });
@@ -342,7 +469,8 @@
                             "--listen=" + at(kApp),
                             "--outbound=" + at(kOutbound),
                             "--agent=" + at(kAdmin),
-                            "--service=desk" });
+                            "--service=desk",
+                            "--warmup_ms=" + std::to_string(warmup.count()) });
 }
 
 } // namespace bilberryfield
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -10,6 +10,39 @@
 
 namespace bilberryfield {
 
+/** Whether bilberryd has the settings `evacuations`, `warmup_overage` and
+ * `warmup_slack`. A settings file with an unknown key is rejected. */
+inline constexpr bool kHasHardLoadSettings = false;
+
+/** What a deployment declares of the start of its servers. */
+struct WarmupRule
+{
+  Seconds m_duration{ 3 };
+  /** Requests a second that a cold server can handle. */
+  int m_perSecond = 10;
+  double m_overage = 1.5;
+  int m_slack = 5;
+
+  /** Most new flows for a cold server in any second. */
+  size_t MaxFlows() const
+  {
+    return static_cast<size_t>(m_perSecond * m_overage + m_slack);
+  }
+};
+
+/** A SYN packet of a flow that the server did not have. */
+struct FlowArrival
+{
+  size_t m_server = 0;
+  TimePoint m_at;
+  bool m_isCold = false;
+  std::string m_flow;
+};
+
+/** Most new flows that reached one server while it was cold, in any second. */
+size_t
+MostColdArrivals(const std::vector<FlowArrival>& aArrivals);
+
 /**
  * The packet path as separate processes on loopback addresses: the platform's
  * store, balancers, and agents with their servers.
@@ -35,7 +68,7 @@
   Process& Server(size_t aIndex) { return *m_servers[aIndex]; }
   void StartBalancer(size_t aIndex);
   void StartAgent(size_t aIndex);
-  void StartServer(size_t aIndex);
+  void StartServer(size_t aIndex, bool aIsCold = false);
 
   /** The link between the store and the daemons. */
   StoreLink& Link() { return *m_link; }
@@ -48,6 +81,20 @@
    * since is gone; the newest configuration is written again. */
   void RestoreStore() { DisturbStore("restore=1"); }
 
+  /** Requests as the operator that nothing more be sent to the servers of a
+   * failure domain. Returns the time of the store's acknowledgement. */
+  TimePoint Evacuate(const std::string& aDomain);
+  /** Withdraws the request. Returns the last time at which it was in force. */
+  TimePoint ReturnToService(const std::string& aDomain);
+  /** Failure domain of the balancer, agent and server with an index. */
+  std::string DomainOf(size_t aIndex) const;
+  /** New flows at all servers since their start, in the order of time. */
+  std::vector<FlowArrival> Arrivals() const;
+  /** Number of new flows at a domain's servers in a span of time. */
+  size_t CountArrivals(const std::string& aDomain,
+                       TimePoint aFrom,
+                       TimePoint aTo) const;
+
   /** Programs of the product that ended though nobody ended them. */
   std::vector<std::string> EndedByThemselves();
   /** What a balancer tells of itself; nothing when it does not answer. */
@@ -60,6 +107,12 @@
   Milliseconds m_staleEntryAfter{ 600'000 };
   /** Longest wait of a graceful shutdown; to be set before Start. */
   Milliseconds m_shutdownLimit{ 5000 };
+  /** Number of failure domains; to be set before Start. */
+  size_t m_domains = 1;
+  /** Whether balancers follow evacuations; to be set before Start. */
+  bool m_hasEvacuations = false;
+  /** Declared for the service if set; to be set before Start. */
+  std::optional<WarmupRule> m_warmup;
   /** Requests that servers ran more than once, by their flows. */
   std::vector<std::string> RunTwice() const;
 
@@ -79,12 +132,16 @@
   Process Run(const std::string& aName,
               const std::vector<std::string>& aCommand);
   std::string LogName(const std::string& aName);
-  Process RunDaemon(FlowRole aRole, const std::string& aName, uint32_t aIp);
+  Process RunDaemon(FlowRole aRole, uint32_t aIp, size_t aIndex);
   bool StoreConfiguration(const nlohmann::json& aContent, bool aIsFirst);
   std::string WriteSettings(const std::string& aName, const std::string& aText);
   std::string SettingsText(const std::string& aName,
                            FlowRole aRole,
-                           uint32_t aIp) const;
+                           uint32_t aIp,
+                           size_t aIndex) const;
+  void ForEachServerLine(
+    const std::function<void(size_t aServer, const std::string& aLine)>& aVisit)
+    const;
 
   std::string m_build;
   std::filesystem::path m_folder;
--- a/standins/FlowServerStandIn.cpp
+++ b/standins/FlowServerStandIn.cpp
@@ -24,6 +24,7 @@
 ABSL_FLAG(int, slots, 4, "Requests that it runs at a time.");
 ABSL_FLAG(int, work_ms, 20, "Time that a request takes.");
 ABSL_FLAG(int, heartbeat_ms, 200, "Time between two heartbeats.");
+ABSL_FLAG(int, warmup_ms, 0, "Time for which it is cold after its start.");
 
 namespace {
 
@@ -52,6 +53,8 @@
     m_heartbeat.m_service = absl::GetFlag(FLAGS_service);
     m_heartbeat.m_address = *ParseIpAndPort(absl::GetFlag(FLAGS_listen));
     m_heartbeat.m_slots = static_cast<uint32_t>(absl::GetFlag(FLAGS_slots));
+    m_warmUntil =
+      EventLoop::Now() + Milliseconds(absl::GetFlag(FLAGS_warmup_ms));
   }
 
   Result<void> Start()
@@ -99,6 +102,7 @@
   void SendHeartbeat()
   {
     m_heartbeat.m_sequence += 1;
+    m_heartbeat.m_warmupLeft = WarmupLeft();
     Call("PUT", EncodeHeartbeat(m_heartbeat, "a"));
   }
 
@@ -110,7 +114,11 @@
     }
     FlowKey key = header->FlowFromCaller();
     if (header->IsSyn()) {
-      Held& held = m_held[key];
+      auto [place, isNew] = m_held.try_emplace(key);
+      Held& held = place->second;
+      if (isNew) {
+        RecordArrival(key);
+      }
       held.m_seq = held.m_seq == 0 ? m_random() | 1U : held.m_seq;
       return Send(key, kSyn | kAck, held.m_seq, 0);
     }
@@ -139,6 +147,21 @@
     }
   }
 
+  Milliseconds WarmupLeft() const
+  {
+    Duration left = std::max(m_warmUntil - EventLoop::Now(), Duration(0));
+    return std::chrono::ceil<Milliseconds>(left);
+  }
+
+  // FlowCluster::Arrivals reads these lines. The steady clock is the same for
+  // all processes of a machine.
+  void RecordArrival(const FlowKey& aKey)
+  {
+    bool isCold = WarmupLeft() > Milliseconds(0);
+    std::cout << "syn " << EventLoop::Now().time_since_epoch().count() << " "
+              << isCold << " " << ToText(aKey) << std::endl;
+  }
+
   void SendAnswer(const FlowKey& aKey, const Held& aHeld)
   {
     Send(aKey, kAck | kFin, aHeld.m_seq + 1, kAnswerBytes);
@@ -182,6 +205,7 @@
   HttpClient m_client;
   EventLoop::Socket* m_socket = nullptr;
   ServerHeartbeat m_heartbeat;
+  TimePoint m_warmUntil;
   std::mt19937 m_random{ std::random_device{}() };
   std::map<FlowKey, Held> m_held;
   std::deque<FlowKey> m_waiting;
