Fault soak: evacuations and cold servers

After a restoration of the store the operator's tool writes the evacuations again. Checked: no new flow in an evacuated domain later than 5 s after the acknowledgement, unless a balancer that the flow was sent to or its agent was disturbed in the 5 s before; the bound counts from the end of troubles between the store and all balancers that began before it was over.

--- a/Makefile
+++ b/Makefile
@@ -26,14 +26,16 @@
 
 # Disturbs the packet path's real processes from outside and checks the
 # promises; SEED is the first of SEEDS seeds. RESTORATIONS=false draws the days of
-# seeds from before the store could be restored from a copy.
+# seeds from before the store could be restored from a copy, EVACUATIONS=false
+# those from before failure domains were evacuated.
 SEED ?= 1
 SEEDS ?= 50
 SECONDS_EACH ?= 8
 RESTORATIONS ?= true
+EVACUATIONS ?= true
 
 fault-soak: build
-	$(BUILD)/standins/FaultSoak --build=$(BUILD) --seed=$(SEED) --seeds=$(SEEDS) --seconds_each=$(SECONDS_EACH) --restorations=$(RESTORATIONS)
+	$(BUILD)/standins/FaultSoak --build=$(BUILD) --seed=$(SEED) --seeds=$(SEEDS) --seconds_each=$(SECONDS_EACH) --restorations=$(RESTORATIONS) --evacuations=$(EVACUATIONS)
 
 # Measures the policy against its bounds, beside a baseline; SEED chooses the
 # arrivals.
--- a/standins/FaultSoak.cpp
+++ b/standins/FaultSoak.cpp
@@ -22,6 +22,11 @@
           false,
           "Also restores the store from copies. Without it a seed draws the "
           "same troubles as before there were restorations.");
+ABSL_FLAG(bool,
+          evacuations,
+          false,
+          "Also evacuates failure domains and starts cold servers. Without it "
+          "a seed draws the same troubles as before there were evacuations.");
 
 namespace {
 
@@ -34,6 +39,13 @@
 constexpr Duration kSettle = Seconds(4);
 constexpr Duration kCalm = Seconds(1);
 constexpr Duration kStatusEvery = Milliseconds(200);
+/** Time after which an acknowledged evacuation is in force, unless the process
+ * concerned was disturbed meanwhile. */
+constexpr Duration kEvacuateBound = Seconds(5);
+/** Time for which an evacuation that a restored store lacks is kept. */
+constexpr Duration kLongestKept = Seconds(10);
+constexpr size_t kDomains = 3;
+constexpr WarmupRule kWarmup;
 
 enum class Trouble : uint8_t
 {
@@ -50,9 +62,11 @@
   Reload,
   CallersLinks,
   RestoreStore,
+  Evacuate,
+  ColdServer,
 };
 
-inline constexpr NameTable<Trouble, 13> kTroubleNames = { {
+inline constexpr NameTable<Trouble, 15> kTroubleNames = { {
   { Trouble::KillBalancer, "kill-balancer" },
   { Trouble::StopBalancer, "stop-balancer" },
   { Trouble::PauseBalancer, "pause-balancer" },
@@ -66,15 +80,57 @@
   { Trouble::Reload, "reload" },
   { Trouble::CallersLinks, "callers-links" },
   { Trouble::RestoreStore, "restore-store" },
+  { Trouble::Evacuate, "evacuate" },
+  { Trouble::ColdServer, "cold-server" },
 } };
 
-size_t
-TroubleCount()
+bool
+IsDrawn(Trouble aTrouble)
 {
-  bool withRestorations = absl::GetFlag(FLAGS_restorations);
-  return kTroubleNames.size() - (withRestorations ? 0 : 1);
+  switch (aTrouble) {
+    case Trouble::RestoreStore:
+      return absl::GetFlag(FLAGS_restorations);
+    case Trouble::Evacuate:
+    case Trouble::ColdServer:
+      return absl::GetFlag(FLAGS_evacuations);
+    default:
+      return true;
+  }
 }
 
+// What a seed draws depends on the number and order of these.
+std::vector<Trouble>
+DrawnTroubles()
+{
+  std::vector<Trouble> drawn;
+  for (const auto& [trouble, name] : kTroubleNames) {
+    if (IsDrawn(trouble)) {
+      drawn.push_back(trouble);
+    }
+  }
+  return drawn;
+}
+
+/** A span of time in which something was disturbed. */
+struct Disturbance
+{
+  TimePoint m_from;
+  TimePoint m_to = TimePoint::max();
+
+  bool Overlaps(TimePoint aFrom, TimePoint aTo) const
+  {
+    return m_from <= aTo && m_to >= aFrom;
+  }
+};
+
+/** A span of time for which the operator evacuates a domain. */
+struct EvacuationSpan
+{
+  std::string m_domain;
+  TimePoint m_acknowledgedAt;
+  TimePoint m_removedAt = TimePoint::max();
+};
+
 int64_t
 WallMs()
 {
@@ -95,7 +151,14 @@
     , m_balancers(static_cast<size_t>(absl::GetFlag(FLAGS_balancers)))
     , m_servers(static_cast<size_t>(absl::GetFlag(FLAGS_servers)))
     , m_newest(m_balancers.size())
+    , m_disturbedBalancers(m_balancers.size())
+    , m_disturbedAgents(m_servers.size())
   {
+    if (absl::GetFlag(FLAGS_evacuations)) {
+      m_cluster.m_domains = kDomains;
+      m_cluster.m_hasEvacuations = true;
+      m_cluster.m_warmup = kWarmup;
+    }
   }
 
   /** The promises that were broken. */
@@ -161,7 +224,7 @@
     TimePoint next = EventLoop::Now();
     while (EventLoop::Now() < aEnd) {
       if (EventLoop::Now() >= next) {
-        OneTrouble(static_cast<Trouble>(Draw(TroubleCount())));
+        OneTrouble(m_troubles[Draw(m_troubles.size())]);
         next = EventLoop::Now() + DrawTime(50, 600);
       }
       Step();
@@ -221,12 +284,49 @@
 
   std::optional<size_t> ChooseBalancer(Duration aFor)
   {
-    return Choose(m_balancers, m_balancers.size() - 1, aFor);
+    auto index = Choose(m_balancers, m_balancers.size() - 1, aFor);
+    if (index) {
+      TimePoint now = EventLoop::Now();
+      m_disturbedBalancers[*index].push_back({ now, now + aFor });
+    }
+    return index;
   }
 
   std::optional<size_t> ChooseServer(Duration aFor)
   {
-    return Choose(m_servers, m_servers.size() / 2, aFor);
+    auto index = Choose(m_servers, m_servers.size() / 2, aFor);
+    TimePoint now = EventLoop::Now();
+    if (index && !IsAServerLeft()) {
+      m_servers[*index] = now;
+      return std::nullopt;
+    }
+    if (index) {
+      m_disturbedAgents[*index].push_back({ now, now + aFor });
+    }
+    return index;
+  }
+
+  // True if a server is neither evacuated nor disturbed.
+  bool IsAServerLeft()
+  {
+    TimePoint now = EventLoop::Now();
+    for (size_t i = 0; i < m_servers.size(); ++i) {
+      std::string domain = m_cluster.DomainOf(i);
+      if (m_servers[i] <= now && !m_evacuated.contains(domain) &&
+          m_keptUntil[domain] <= now) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // A restored store may name a domain that has returned to service, and
+  // balancers keep evacuations that it lacks for a while.
+  void KeepEvacuations()
+  {
+    for (const EvacuationSpan& span : m_evacuations) {
+      m_keptUntil[span.m_domain] = EventLoop::Now() + kLongestKept;
+    }
   }
 
   void OneTrouble(Trouble aTrouble)
@@ -250,7 +350,7 @@
         }
         return;
       case Trouble::ReplaceServer:
-        return ReplaceServer();
+        return ReplaceServer(false);
       case Trouble::Link:
         return DisturbLink(2 * time);
       case Trouble::StoreLosesAnswers:
@@ -267,6 +367,10 @@
         return DisturbCallers(time);
       case Trouble::RestoreStore:
         return RestoreStore();
+      case Trouble::Evacuate:
+        return Evacuate();
+      case Trouble::ColdServer:
+        return ReplaceServer(true);
     }
   }
 
@@ -310,37 +414,99 @@
     if (!index) {
       return;
     }
-    Say("kill agent " + std::to_string(*index));
-    m_cluster.Agent(*index).Kill();
-    Later(aAfter, [this, index = *index] {
-      Say("start agent " + std::to_string(index));
-      m_cluster.StartAgent(index);
+    RestartAgent(*index, aAfter);
+  }
+
+  void RestartAgent(size_t aIndex, Duration aAfter)
+  {
+    Say("kill agent " + std::to_string(aIndex));
+    m_cluster.Agent(aIndex).Kill();
+    Later(aAfter, [this, aIndex] {
+      Say("start agent " + std::to_string(aIndex));
+      m_cluster.StartAgent(aIndex);
     });
   }
 
-  // The server says that it drains and leaves a second later.
-  void ReplaceServer()
+  // The server says that it drains and leaves a second later. The next one is
+  // disturbed until it is warm.
+  void ReplaceServer(bool aIsNextCold)
   {
     constexpr Duration kLeaves = Milliseconds(2500);
-    std::optional<size_t> index = ChooseServer(kLeaves);
+    Duration warmup = aIsNextCold ? Duration(kWarmup.m_duration) : Duration(0);
+    std::optional<size_t> index = ChooseServer(kLeaves + warmup);
     if (!index) {
       return;
     }
     Say("drain server " + std::to_string(*index));
     m_cluster.Server(*index).Signal(SIGTERM);
-    Later(kLeaves, [this, index = *index] {
-      Say("start server " + std::to_string(index));
+    Later(kLeaves, [this, index = *index, aIsNextCold] {
+      Say((aIsNextCold ? "start cold server " : "start server ") +
+          std::to_string(index));
       m_cluster.Server(index).Wait();
-      m_cluster.StartServer(index);
+      m_cluster.StartServer(index, aIsNextCold);
+      if (aIsNextCold) {
+        DisturbAgentOfColdServer(index);
+      }
     });
   }
 
+  void DisturbAgentOfColdServer(size_t aIndex)
+  {
+    size_t kind = Draw(3);
+    Duration time = DrawTime(0, 1000);
+    Later(DrawTime(0, 1500), [this, aIndex, kind, time] {
+      if (kind == 0) {
+        RestartAgent(aIndex, time);
+      } else if (kind == 1) {
+        Pause("agent", aIndex, m_cluster.Agent(aIndex), time);
+      }
+    });
+  }
+
+  void Evacuate()
+  {
+    std::string domain = m_cluster.DomainOf(Draw(kDomains));
+    Duration time = DrawTime(4000, 12'000);
+    if (!m_evacuated.insert(domain).second) {
+      return;
+    }
+    if (!IsAServerLeft()) {
+      m_evacuated.erase(domain);
+      return;
+    }
+    Say("evacuate " + domain);
+    size_t span = m_evacuations.size();
+    m_evacuations.push_back({ domain, m_cluster.Evacuate(domain) });
+    Later(time, [this, domain, span] {
+      Say("return " + domain);
+      m_evacuations[span].m_removedAt = m_cluster.ReturnToService(domain);
+      m_evacuated.erase(domain);
+    });
+  }
+
+  // A restored store has the evacuations of its copy, so the operator's tool
+  // writes those that are intended.
+  void RewriteEvacuations()
+  {
+    Say("rewrite evacuations");
+    for (size_t i = 0; i < kDomains; ++i) {
+      std::string domain = m_cluster.DomainOf(i);
+      if (m_evacuated.contains(domain)) {
+        m_cluster.Evacuate(domain);
+      } else {
+        m_cluster.ReturnToService(domain);
+      }
+    }
+  }
+
   void DisturbLink(Duration aFor)
   {
     auto mode = static_cast<LinkMode>(1 + Draw(kLinkModeNames.size() - 1));
     Say("link " + std::string(NameOf(kLinkModeNames, mode)) + " for " +
         std::to_string(ToMilliseconds(aFor)) + " ms");
     m_cluster.Link().SetMode(mode);
+    TimePoint now = EventLoop::Now();
+    m_disturbedStore.push_back({ now, now + aFor });
     Later(aFor, [this] { m_cluster.Link().SetMode(LinkMode::Pass); });
   }
 
@@ -354,6 +520,10 @@
     Say("copy of the store");
     m_cluster.CopyStore();
     Later(age, [this, isAway] {
+      KeepEvacuations();
+      if (!IsAServerLeft()) {
+        return;
+      }
       Say("restore-store");
       if (isAway) {
         m_cluster.Link().SetMode(LinkMode::Reset);
@@ -361,6 +531,14 @@
               [this] { m_cluster.Link().SetMode(LinkMode::Pass); });
       }
       m_cluster.RestoreStore();
+      if (absl::GetFlag(FLAGS_evacuations)) {
+        size_t trouble = m_disturbedStore.size();
+        m_disturbedStore.push_back({ EventLoop::Now() });
+        Later(DrawTime(1000, 3000), [this, trouble] {
+          RewriteEvacuations();
+          m_disturbedStore[trouble].m_to = EventLoop::Now();
+        });
+      }
     });
   }
 
@@ -425,6 +603,7 @@
 
   void CheckEnd()
   {
+    TimePoint end = EventLoop::Now();
     for (size_t i = 0; i < m_balancers.size(); ++i) {
       std::optional<nlohmann::json> status = m_cluster.StatusOf(i);
       std::string who = "balancer " + std::to_string(i);
@@ -446,6 +625,10 @@
             " ms, ended at " +
             std::to_string(ToMilliseconds(flow.m_endedAt - m_start)) + " ms");
     }
+    if (absl::GetFlag(FLAGS_evacuations)) {
+      CheckEvacuations(end);
+      CheckColdServers();
+    }
     for (const std::string& line : m_cluster.RunTwice()) {
       Break("a request ran twice: " + line);
     }
@@ -454,6 +637,74 @@
               << std::endl;
   }
 
+  // The bound counts from the end of the last trouble between the store and
+  // all balancers, if that began before the evacuation was in force.
+  TimePoint InForceFrom(const EvacuationSpan& aSpan) const
+  {
+    TimePoint from = aSpan.m_acknowledgedAt;
+    for (const Disturbance& trouble : m_disturbedStore) {
+      if (trouble.Overlaps(from, from + kEvacuateBound)) {
+        from = std::max(from, trouble.m_to);
+      }
+    }
+    return from + kEvacuateBound;
+  }
+
+  static bool WasDisturbed(const std::vector<Disturbance>& aTroubles,
+                           TimePoint aAt)
+  {
+    return std::ranges::any_of(aTroubles, [&](const Disturbance& aTrouble) {
+      return aTrouble.Overlaps(aAt - kEvacuateBound, aAt);
+    });
+  }
+
+  bool WasPathDisturbed(const FlowArrival& aArrival) const
+  {
+    const std::set<size_t>& sentTo = m_callers->SentTo().at(aArrival.m_flow);
+    return WasDisturbed(m_disturbedAgents[aArrival.m_server], aArrival.m_at) ||
+           std::ranges::any_of(sentTo, [&](size_t aBalancer) {
+             return WasDisturbed(m_disturbedBalancers[aBalancer],
+                                 aArrival.m_at);
+           });
+  }
+
+  void CheckEvacuations(TimePoint aEnd)
+  {
+    std::vector<FlowArrival> arrivals = m_cluster.Arrivals();
+    for (const EvacuationSpan& span : m_evacuations) {
+      TimePoint from = InForceFrom(span);
+      size_t late = 0;
+      for (const FlowArrival& arrival : arrivals) {
+        late += m_cluster.DomainOf(arrival.m_server) == span.m_domain &&
+                arrival.m_at >= from && arrival.m_at < span.m_removedAt &&
+                !WasPathDisturbed(arrival);
+      }
+      if (late > 0) {
+        Break(std::to_string(late) + " new flows in domain " + span.m_domain +
+              ", evacuated at " +
+              std::to_string(ToMilliseconds(span.m_acknowledgedAt - m_start)) +
+              " ms");
+      }
+    }
+    for (size_t i = 0; i < std::min(kDomains, m_servers.size()); ++i) {
+      std::string domain = m_cluster.DomainOf(i);
+      if (m_keptUntil[domain] <= aEnd - kSettle &&
+          m_cluster.CountArrivals(domain, aEnd - kSettle, aEnd) == 0) {
+        Break("no new flow in domain " + domain + " after its return");
+      }
+    }
+  }
+
+  void CheckColdServers()
+  {
+    size_t most = MostColdArrivals(m_cluster.Arrivals());
+    if (most > kWarmup.MaxFlows()) {
+      Break(std::to_string(most) +
+            " new flows reached a cold server in a second, " +
+            std::to_string(kWarmup.MaxFlows()) + " are permitted");
+    }
+  }
+
   uint64_t m_seed;
   std::mt19937_64 m_random;
   FlowCluster m_cluster;
@@ -464,6 +715,16 @@
   std::vector<TimePoint> m_servers;
   /** Newest version seen at each balancer since its start. */
   std::vector<uint64_t> m_newest;
+  const std::vector<Trouble> m_troubles = DrawnTroubles();
+  std::vector<std::vector<Disturbance>> m_disturbedBalancers;
+  std::vector<std::vector<Disturbance>> m_disturbedAgents;
+  /** Troubles of the link to the store and restorations, in order. */
+  std::vector<Disturbance> m_disturbedStore;
+  /** Until when a domain may be evacuated because of a restoration. */
+  std::map<std::string, TimePoint> m_keptUntil;
+  std::vector<EvacuationSpan> m_evacuations;
+  /** Domains that are evacuated now. */
+  std::set<std::string> m_evacuated;
   std::set<std::string> m_isStopping;
   std::set<std::string> m_ended;
   std::vector<Undo> m_undo;
