--- a/test/process/Evacuation.cpp
+++ b/test/process/Evacuation.cpp
@@ -109,7 +109,7 @@
 
 } // namespace
 
-// Guards against balancers that place flows in a domain without power soon.
+// Guards against balancers that never learn of the evacuation or of its end.
 Test(Evacuation, EvacuatedDomainGetsNoNewFlowUntilItsReturn)
 {
   LoadedDomains loaded(3);
