Reset lost flows whose remaining agents are unreachable

Cause: a search that one agent did not answer ended undecided, and every retransmission asked all agents again. Callers of flows at a server that never came back were silent until their deadline. Change: AgentReachability decides which silent agents a search need not wait for; agents report the time since their server's start (key "u"); UndecidedFlows remembers who denied a flow.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -29,6 +29,7 @@
   }
   // The first list after a restoration is a copy of the past. An agent that
   // only it names may have left since.
+  bool isFirst = !m_position.IsKnown();
   bool isFromCopy = m_position.IsKnown() && aPosition.m_era != m_position.m_era;
   m_position = aPosition;
   for (auto& [ip, agent] : m_agents) {
@@ -38,6 +39,7 @@
     AgentState& agent = Upsert(aNow, entry);
     agent.m_isListed = true;
     agent.m_mustReport = agent.m_mustReport || isFromCopy;
+    agent.m_isInFirstList = agent.m_isInFirstList || isFirst;
   }
 }
 
@@ -79,6 +81,10 @@
   AgentState& agent =
     Upsert(aNow, { aReport.m_service, aReport.m_domain, aReport.m_packets });
   agent.m_lastReport = aNow;
+  agent.m_serverStartedAt = std::nullopt;
+  if (aReport.m_sinceServerStart > Milliseconds(0)) {
+    agent.m_serverStartedAt = aNow - aReport.m_sinceServerStart;
+  }
   SetLoad(agent, aReport.m_load);
 }
 
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -45,6 +45,8 @@
   bool m_isListed = false;
   /** Gets no flows before its first report. */
   bool m_mustReport = false;
+  /** The agent was in the first list that this balancer loaded. */
+  bool m_isInFirstList = false;
   TimePoint m_addedAt;
   /** Time of the last report; empty before the first one. */
   std::optional<TimePoint> m_lastReport;
@@ -52,6 +54,8 @@
    * from the report interval in the last subscription. */
   Duration m_reportTimeout = kDefaultReportTimeout;
   ServerLoad m_load;
+  /** Time at which the agent saw its server start; empty if it did not. */
+  std::optional<TimePoint> m_serverStartedAt;
   std::optional<SentSubscription> m_lastSubscription;
 
   /** Time since the last report, or since the agent was added if there is none.
--- /dev/null
+++ b/packages/flow/AgentReachability.cpp
@@ -0,0 +1,168 @@
+#include "AgentReachability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberryfield {
+
+namespace {
+
+/** Gap between two ticks beyond which the gap does not count as silence. Three
+ * ticks; agents' reports may still be unread after a longer one. */
+constexpr Duration kLateTickGap = Milliseconds(60);
+/** Time for which late ticks are kept. */
+constexpr Duration kLateTickRetention = Seconds(60);
+/** Report timeouts without a report after which an agent counts as unreachable.
+ * In deployments with many agents, reports are many seconds apart, and a single
+ * timeout passes when three of them are lost. */
+constexpr int kReportTimeoutsMissed = 2;
+/** Minimum number of restarted servers in a general restart. The restart of a
+ * single server says nothing about the others. */
+constexpr size_t kMinRestarted = 2;
+
+bool
+IsAtLeastHalf(size_t aCount, size_t aTotal)
+{
+  return 2 * aCount >= aTotal;
+}
+
+} // namespace
+
+size_t
+AgentReachability::Group::StartsAfter(TimePoint aTime) const
+{
+  auto first = std::upper_bound(m_starts.begin(), m_starts.end(), aTime);
+  return static_cast<size_t>(m_starts.end() - first);
+}
+
+void
+AgentReachability::OnPause(Duration aPause)
+{
+  m_pausedSinceTick += aPause;
+  for (LateTick& tick : m_lateTicks) {
+    tick.m_at += aPause;
+  }
+}
+
+void
+AgentReachability::OnTick(TimePoint aNow)
+{
+  m_services.clear();
+  Duration gap = m_lastTick ? aNow - *m_lastTick : Duration(0);
+  gap -= std::exchange(m_pausedSinceTick, Duration(0));
+  m_lastTick = aNow;
+  if (gap > kLateTickGap) {
+    m_totalDelay += gap;
+    m_lateTicks.push_back({ aNow, m_totalDelay });
+  }
+  while (!m_lateTicks.empty() &&
+         aNow - m_lateTicks.front().m_at > kLateTickRetention) {
+    m_lateTicks.pop_front();
+  }
+}
+
+// The state is computed only when a search needs it.
+const AgentReachability::ServiceState&
+AgentReachability::StateOf(TimePoint aNow, const std::string& aService)
+{
+  auto [found, isNew] = m_services.try_emplace(aService);
+  ServiceState& state = found->second;
+  if (!isNew) {
+    return state;
+  }
+  size_t listedCount = 0;
+  size_t heardCount = 0;
+  for (uint32_t ip : m_agents.AgentsOf(aService)) {
+    const AgentState& agent = *m_agents.Find(ip);
+    bool isReporting = m_agents.IsReporting(aNow, agent);
+    listedCount += agent.m_isListed ? 1 : 0;
+    heardCount += agent.m_isListed && isReporting ? 1 : 0;
+    if (!isReporting) {
+      continue;
+    }
+    for (Group* group :
+         { &state.m_all, &state.m_byDomain[agent.m_entry.m_domain] }) {
+      group->m_reportingCount += 1;
+      if (agent.m_serverStartedAt) {
+        group->m_starts.push_back(*agent.m_serverStartedAt);
+      }
+    }
+  }
+  state.m_isHeard = heardCount > 0 && IsAtLeastHalf(heardCount, listedCount);
+  std::sort(state.m_all.m_starts.begin(), state.m_all.m_starts.end());
+  for (auto& [domain, group] : state.m_byDomain) {
+    std::sort(group.m_starts.begin(), group.m_starts.end());
+  }
+  return state;
+}
+
+Duration
+AgentReachability::Silence(TimePoint aNow, const AgentState& aAgent) const
+{
+  Duration sinceContact = aAgent.TimeSinceContact(aNow);
+  TimePoint contact = aNow - sinceContact;
+  auto first = std::upper_bound(
+    m_lateTicks.begin(),
+    m_lateTicks.end(),
+    contact,
+    [](TimePoint aTime, const LateTick& aTick) { return aTime < aTick.m_at; });
+  if (first == m_lateTicks.end()) {
+    return sinceContact;
+  }
+  Duration before =
+    first == m_lateTicks.begin() ? Duration(0) : std::prev(first)->m_totalDelay;
+  return sinceContact - (m_totalDelay - before);
+}
+
+// Servers that started before the agent fell silent say nothing about it: a
+// rolling release replaces many servers while a paused one keeps its flows. A
+// server of the same failure domain that is known to have run through shows
+// that the domain did not lose power.
+bool
+AgentReachability::WasRestartGeneral(TimePoint aNow,
+                                     const AgentState& aAgent,
+                                     const ServiceState& aService) const
+{
+  TimePoint after = aNow - kRestartWindow;
+  if (aAgent.m_lastReport) {
+    after = std::max(after, *aAgent.m_lastReport);
+  } else if (!aAgent.m_isInFirstList) {
+    // A new agent. Another balancer may have heard it and placed flows there.
+    return false;
+  }
+  size_t started = aService.m_all.StartsAfter(after);
+  if (started < kMinRestarted ||
+      !IsAtLeastHalf(started, aService.m_all.m_reportingCount)) {
+    return false;
+  }
+  auto found = aService.m_byDomain.find(aAgent.m_entry.m_domain);
+  if (found == aService.m_byDomain.end()) {
+    return false;
+  }
+  const Group& domain = found->second;
+  size_t startedInDomain = domain.StartsAfter(after);
+  bool didOthersSurvive = startedInDomain < domain.m_starts.size();
+  return !didOthersSurvive &&
+         IsAtLeastHalf(startedInDomain, domain.m_reportingCount);
+}
+
+bool
+AgentReachability::IsUnreachable(TimePoint aNow, const AgentState& aAgent)
+{
+  if (m_agents.IsReporting(aNow, aAgent)) {
+    return false;
+  }
+  Duration silence = Silence(aNow, aAgent);
+  if (silence < kUnreachableAfterRestart) {
+    return false;
+  }
+  const ServiceState& service = StateOf(aNow, aAgent.m_entry.m_service);
+  if (!service.m_isHeard) {
+    return false;
+  }
+  Duration limit =
+    std::max(kUnreachable, kReportTimeoutsMissed * aAgent.m_reportTimeout);
+  return silence >= limit || WasRestartGeneral(aNow, aAgent, service);
+}
+
+} // namespace bilberryfield
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -40,6 +40,7 @@
                 m_options.m_packets,
                 {},
                 {},
+                {},
                 {} },
               aStart)
 {
@@ -382,6 +383,7 @@
   HeartbeatResult result = m_server.OnHeartbeat(aNow, aHeartbeat);
   if (result == HeartbeatResult::NewIncarnation) {
     m_sawIncarnationStart = true;
+    m_reports.OnServerStart(aNow);
   }
   return result;
 }
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -127,7 +127,9 @@
   Flow* flow = m_flows.Find(key);
   const AgentState* agent = flow ? m_agents.Find(flow->m_agentIp) : nullptr;
   if (!aHeader.IsSyn()) {
-    if (agent) {
+    bool isLost =
+      agent && m_resetsLostFlows && m_reachability.IsUnreachable(aNow, *agent);
+    if (agent && !isLost) {
       Forward(key, *agent, FlowReason::Known);
     } else {
       SearchFor(aNow, aHeader, aBytes, *route, 0);
@@ -143,6 +145,7 @@
     m_steps.back().m_mark = MarkFor(*route, kNoBusyLimit).Pack();
     return m_steps;
   }
+  m_undecided.Forget(key);
   Flow newFlow = NewFlow(aHeader.m_seq);
   if (isRetransmission) {
     newFlow.m_tried[newFlow.m_tryCount++] = agent->m_entry.m_packets.m_ip;
@@ -313,12 +316,23 @@
   if (m_searches.Contains(key)) {
     return m_searches.HoldPacket(key, aBytes);
   }
+  SearchScope scope = SearchScopeFor(aNow, aRoute, aExcludedIp);
+  bool isKnown =
+    m_resetsLostFlows && RemoveDenials(aNow, key, aHeader.m_ack, scope);
+  bool isLost =
+    isKnown && scope.m_isComplete &&
+    std::all_of(scope.m_agents.begin(),
+                scope.m_agents.end(),
+                [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); });
+  if (isLost) {
+    SearchStep lost;
+    lost.m_flow = key;
+    lost.m_ack = aHeader.m_ack;
+    lost.m_unanswered = std::move(scope.m_agents);
+    return EndLostFlow(aNow, lost);
+  }
   std::optional<SearchStep> step =
-    m_searches.Start(aNow,
-                     key,
-                     aHeader.m_ack,
-                     aBytes,
-                     SearchScopeFor(aNow, aRoute, aExcludedIp));
+    m_searches.Start(aNow, key, aHeader.m_ack, aBytes, scope);
   if (!step) {
     return AddStep(FlowBalancerAction::Drop, FlowReason::TooManyHeld, key);
   }
@@ -341,14 +355,9 @@
       m_steps.back().m_queriedAgents = std::move(aStep.m_agents);
       return;
     case SearchAction::Lost:
-      return AddStep(IsAgentListComplete(aNow) ? FlowBalancerAction::Reset
-                                               : FlowBalancerAction::Drop,
-                     FlowReason::Unowned,
-                     aStep.m_flow,
-                     aStep.m_ack);
+      return EndLostFlow(aNow, aStep);
     case SearchAction::GiveUp:
-      return AddStep(
-        FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
+      return EndUndecidedSearch(aNow, std::move(aStep));
     case SearchAction::Found:
       return ForwardToOwner(std::move(aStep));
     case SearchAction::Try:
@@ -356,6 +365,82 @@
   }
 }
 
+void
+FlowBalancer::EndLostFlow(TimePoint aNow, const SearchStep& aStep)
+{
+  bool isComplete = IsAgentListComplete(aNow);
+  m_lostFlowResets += isComplete ? 1 : 0;
+  AddStep(isComplete ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
+          FlowReason::Unowned,
+          aStep.m_flow,
+          aStep.m_ack);
+  m_steps.back().m_unreachableCount =
+    static_cast<uint32_t>(aStep.m_unanswered.size());
+}
+
+void
+FlowBalancer::EndUndecidedSearch(TimePoint aNow, SearchStep aStep)
+{
+  m_undecidedSearches += 1;
+  AddStep(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
+  m_steps.back().m_unansweredCount =
+    static_cast<uint32_t>(aStep.m_unanswered.size());
+  if (m_resetsLostFlows) {
+    m_undecided.Remember(aStep.m_flow,
+                         { aStep.m_ack,
+                           RoutesVersion(),
+                           aNow - aStep.m_elapsed,
+                           aNow,
+                           std::move(aStep.m_unanswered) });
+  }
+}
+
+// An agent that was added after the search was not asked.
+bool
+FlowBalancer::RemoveDenials(TimePoint aNow,
+                            const FlowKey& aFlow,
+                            uint32_t aAck,
+                            SearchScope& aScope)
+{
+  const UndecidedFlow* undecided =
+    m_undecided.Find(aNow, aFlow, aAck, RoutesVersion());
+  if (!undecided) {
+    return false;
+  }
+  const std::vector<uint32_t>& unanswered = undecided->m_unanswered;
+  std::erase_if(aScope.m_agents, [&](uint32_t aIp) {
+    bool isUnanswered =
+      std::find(unanswered.begin(), unanswered.end(), aIp) != unanswered.end();
+    return !isUnanswered &&
+           m_agents.Find(aIp)->m_addedAt < undecided->m_searchedAt;
+  });
+  return true;
+}
+
+bool
+FlowBalancer::IsUnreachable(TimePoint aNow, uint32_t aAgentIp)
+{
+  const AgentState* agent = m_agents.Find(aAgentIp);
+  return agent && m_reachability.IsUnreachable(aNow, *agent);
+}
+
+void
+FlowBalancer::OnLateAnswer(uint32_t aAgentIp, const FlowAnswer& aAnswer)
+{
+  const FlowKey& key = aAnswer.m_flow;
+  if (!m_undecided.IsUnanswered(key, aAgentIp)) {
+    return;
+  }
+  if (aAnswer.m_ownership == FlowOwnership::No) {
+    m_undecided.OnDenied(key, aAgentIp);
+  } else if (aAnswer.m_ownership == FlowOwnership::Yes) {
+    m_undecided.Forget(key);
+    Flow flow;
+    flow.m_agentIp = aAgentIp;
+    m_flows.Insert(key, flow);
+  }
+}
+
 void
 FlowBalancer::ForwardToOwner(SearchStep aStep)
 {
@@ -397,6 +482,10 @@
 {
   m_steps.clear();
   AccountForPause(aNow);
+  if (m_resetsLostFlows && !m_searches.Contains(aAnswer.m_flow)) {
+    OnLateAnswer(aAgentIp, aAnswer);
+    return m_steps;
+  }
   ApplySearchStep(aNow, m_searches.OnAnswer(aNow, aAgentIp, aAnswer));
   return m_steps;
 }
@@ -427,6 +516,7 @@
   Duration pause = m_pause.OnEvent(aNow);
   if (pause > Duration(0)) {
     m_agents.OnPause(pause);
+    m_reachability.OnPause(pause);
   }
 }
 
@@ -447,7 +537,13 @@
     m_nextGeneration = aNow + m_routes->m_flowIdleTimeout;
     m_flows.StartGeneration();
   }
-  for (SearchStep& step : m_searches.OnTick(aNow)) {
+  AgentPredicate isUnreachable;
+  if (m_resetsLostFlows) {
+    m_reachability.OnTick(aNow);
+    m_undecided.OnTick(aNow);
+    isUnreachable = [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); };
+  }
+  for (SearchStep& step : m_searches.OnTick(aNow, isUnreachable)) {
     ApplySearchStep(aNow, std::move(step));
   }
   return m_steps;
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "AgentList.h"
+#include "AgentReachability.h"
 #include "FlowSearches.h"
 #include "GenerationMap.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "RouteTable.h"
+#include "UndecidedFlows.h"
 
 #include <array>
 
@@ -79,6 +80,10 @@
   uint32_t m_candidateCount = 0;
   /** Estimated busy flows at the chosen server. */
   uint32_t m_busy = 0;
+  /** Agents that count as unreachable and did not deny a lost flow. */
+  uint32_t m_unreachableCount = 0;
+  /** Agents without an answer at the end of an undecided search. */
+  uint32_t m_unansweredCount = 0;
   /** Age of the chosen server's last report; empty before the first one. */
   std::optional<Duration> m_loadAge;
   /** The held packet to act on; if empty, the packet that was passed in. */
@@ -96,6 +101,10 @@
   /** aSeed seeds the random choice among servers. */
   FlowBalancer(std::string aDomain, uint64_t aSeed);
 
+  /** Enables decisions about flows whose agent is unreachable and the memory of
+   * undecided searches. */
+  void EnableLostFlowResets() { m_resetsLostFlows = true; }
+
   /** Applies routes. Returns false and ignores them if their version is not
    * newer. */
   bool SetRoutes(RouteTablePointer aRoutes);
@@ -142,6 +151,11 @@
     return m_counts[static_cast<size_t>(aReason)];
   }
 
+  /** Number of resets of flows that no agent has. */
+  uint64_t LostFlowResets() const { return m_lostFlowResets; }
+  /** Number of searches that ended without a result. */
+  uint64_t UndecidedSearches() const { return m_undecidedSearches; }
+
   static constexpr Duration kTick = Milliseconds(20);
 
 private:
@@ -190,6 +204,20 @@
                              uint32_t aExcludedIp) const;
   /** Turns a search step into balancer steps. */
   void ApplySearchStep(TimePoint aNow, SearchStep aStep);
+  /** Resets or drops a flow that no reachable agent has. */
+  void EndLostFlow(TimePoint aNow, const SearchStep& aStep);
+  /** Drops the packets of an undecided search and remembers its result. */
+  void EndUndecidedSearch(TimePoint aNow, SearchStep aStep);
+  /** Removes agents that denied the flow in an undecided search. Returns false
+   * if no search of the flow is remembered. */
+  bool RemoveDenials(TimePoint aNow,
+                     const FlowKey& aFlow,
+                     uint32_t aAck,
+                     SearchScope& aScope);
+  /** True if an agent counts as unreachable; an evicted one does not. */
+  bool IsUnreachable(TimePoint aNow, uint32_t aAgentIp);
+  /** Handles an answer that arrived after the search had ended. */
+  void OnLateAnswer(uint32_t aAgentIp, const FlowAnswer& aAnswer);
   void ForwardToOwner(SearchStep aStep);
   void ForwardToCandidates(const SearchStep& aStep);
   bool IsAgentListComplete(TimePoint aNow) const;
@@ -209,6 +237,11 @@
   absl::flat_hash_map<Endpoint, std::set<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
   FlowSearches m_searches;
+  bool m_resetsLostFlows = false;
+  AgentReachability m_reachability{ m_agents };
+  UndecidedFlows m_undecided;
+  uint64_t m_lostFlowResets = 0;
+  uint64_t m_undecidedSearches = 0;
   LatencyHistogram m_searchTimes;
   std::vector<BalancerStep> m_steps;
   std::array<uint64_t, static_cast<size_t>(FlowReason::Count)> m_counts{};
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -155,6 +155,9 @@
   /** Newest versions in the subscriptions that the agent received. */
   RoutesHolder m_routes;
   AgentsHolder m_agents;
+  /** Time since the agent saw the first heartbeat of its server's incarnation;
+   * 0 if the agent did not see the start. */
+  Milliseconds m_sinceServerStart{ 0 };
 
   bool operator==(const AgentReport&) const = default;
 
@@ -167,6 +170,7 @@
     aVisitor("l", aSelf.m_load);
     aVisitor("r", aSelf.m_routes);
     aVisitor("a", aSelf.m_agents);
+    aVisitor("u", aSelf.m_sinceServerStart);
   }
 };
 
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kAnswerTimeout = Milliseconds(30);
 /** Time after which agents that have not answered are queried once more. */
 constexpr Duration kQueryAgainAfter = Milliseconds(250);
+/** Time that agents which count as unreachable have to answer after all, for
+ * example when their VM has just resumed. */
+constexpr Duration kUnreachableAnswerTimeout = Milliseconds(200);
 /** Time after which a search without candidates ends without a result. */
 constexpr Duration kSearchTimeout = Seconds(1);
 /** Maximum number of candidates that get the packets at the same time. */
@@ -82,6 +85,12 @@
   step.m_heldPackets = std::move(search.m_heldPackets);
   step.m_elapsed = aNow - search.m_startedAt;
   m_unansweredCount -= search.m_unanswered.size();
+  step.m_unanswered = std::move(search.m_unanswered);
+  for (const std::vector<uint32_t>* candidates :
+       { &search.m_untried, &search.m_trying }) {
+    step.m_unanswered.insert(
+      step.m_unanswered.end(), candidates->begin(), candidates->end());
+  }
   m_searches.erase(aFound);
   return step;
 }
@@ -214,14 +223,32 @@
   return {};
 }
 
+bool
+FlowSearches::IsOnlyAwaitingUnreachable(TimePoint aNow,
+                                        const Search& aSearch,
+                                        const AgentPredicate& aIsUnreachable)
+{
+  return aIsUnreachable && aSearch.m_isComplete && aSearch.m_untried.empty() &&
+         !aSearch.m_unanswered.empty() &&
+         aNow - aSearch.m_startedAt > kUnreachableAnswerTimeout &&
+         std::all_of(aSearch.m_unanswered.begin(),
+                     aSearch.m_unanswered.end(),
+                     aIsUnreachable);
+}
+
 SearchStep
-FlowSearches::OnTimer(TimePoint aNow, Searches::iterator aFound)
+FlowSearches::OnTimer(TimePoint aNow,
+                      Searches::iterator aFound,
+                      const AgentPredicate& aIsUnreachable)
 {
   Search& search = aFound->second;
   Duration age = aNow - search.m_startedAt;
   if (!search.m_trying.empty()) {
     return CheckCandidates(aNow, aFound);
   }
+  if (IsOnlyAwaitingUnreachable(aNow, search, aIsUnreachable)) {
+    return End(aNow, aFound, SearchAction::Lost, 0);
+  }
   if (age > kSearchTimeout) {
     return End(aNow, aFound, SearchAction::GiveUp, 0);
   }
@@ -233,7 +260,7 @@
 }
 
 std::vector<SearchStep>
-FlowSearches::OnTick(TimePoint aNow)
+FlowSearches::OnTick(TimePoint aNow, const AgentPredicate& aIsUnreachable)
 {
   // OnTimer may erase searches, so their keys are copied first.
   std::vector<FlowKey> flows;
@@ -242,7 +269,7 @@
   }
   std::vector<SearchStep> steps;
   for (const FlowKey& flow : flows) {
-    SearchStep step = OnTimer(aNow, m_searches.find(flow));
+    SearchStep step = OnTimer(aNow, m_searches.find(flow), aIsUnreachable);
     if (step.m_action != SearchAction::Wait) {
       steps.push_back(std::move(step));
     }
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -3,6 +3,7 @@
 #include "FlowMessages.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -35,8 +36,14 @@
   std::vector<std::vector<uint8_t>> m_heldPackets;
   /** Time since the search started. */
   Duration m_elapsed{ 0 };
+  /** Agents that neither confirmed nor denied the flow, if the action is Lost
+   * or GiveUp. */
+  std::vector<uint32_t> m_unanswered;
 };
 
+/** True for an agent whose answer a search need not wait for. */
+using AgentPredicate = std::function<bool(uint32_t aAgentIp)>;
+
 /** The agents that a search covers. */
 struct SearchScope
 {
@@ -86,8 +93,11 @@
                         uint32_t aAgentIp,
                         PacketBytes aBytes);
 
-  /** Returns the steps that are due because of timeouts. */
-  std::vector<SearchStep> OnTick(TimePoint aNow);
+  /** Returns the steps that are due because of timeouts. A complete search ends
+   * with Lost if all agents that have not answered are unreachable; without
+   * aIsUnreachable no agent is. */
+  std::vector<SearchStep> OnTick(TimePoint aNow,
+                                 const AgentPredicate& aIsUnreachable = {});
 
 private:
   struct Search
@@ -118,7 +128,12 @@
   static SearchStep Query(Searches::iterator aFound,
                           const std::vector<uint32_t>& aAgents);
   SearchStep CheckCandidates(TimePoint aNow, Searches::iterator aFound);
-  SearchStep OnTimer(TimePoint aNow, Searches::iterator aFound);
+  SearchStep OnTimer(TimePoint aNow,
+                     Searches::iterator aFound,
+                     const AgentPredicate& aIsUnreachable);
+  static bool IsOnlyAwaitingUnreachable(TimePoint aNow,
+                                        const Search& aSearch,
+                                        const AgentPredicate& aIsUnreachable);
 
   Searches m_searches;
   /** Outstanding answers of all searches together. */
--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kMaxCheckInterval = Seconds(10);
 /** A subscription lives for four renewals; two of them may be late. */
 constexpr int kLifetimesPerCheck = 2;
+/** Zero would mean that the agent did not see the server's start. */
+constexpr Milliseconds kMinSinceStart{ 1 };
 
 bool
 IsFull(const ServerLoad& aLoad)
@@ -55,6 +57,15 @@
   }
 }
 
+void
+ReportSchedule::OnServerStart(TimePoint aNow)
+{
+  m_serverStartedAt = aNow;
+  for (auto& [ip, subscriber] : m_subscribers) {
+    subscriber.m_hasAgentDetails = false;
+  }
+}
+
 bool
 ReportSchedule::IsDue(TimePoint aNow,
                       const Subscriber& aSubscriber,
@@ -117,6 +128,11 @@
   if (!due.m_reportRecipients.empty()) {
     due.m_report = m_report;
     due.m_report.m_load = aLoad;
+    if (m_serverStartedAt) {
+      due.m_report.m_sinceServerStart = std::max(
+        kMinSinceStart,
+        std::chrono::duration_cast<Milliseconds>(aNow - *m_serverStartedAt));
+    }
   }
   return due;
 }
--- a/packages/flow/ReportSchedule.h
+++ b/packages/flow/ReportSchedule.h
@@ -3,6 +3,7 @@
 #include "FlowMessages.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bilberryfield {
@@ -31,6 +32,10 @@
                    uint32_t aBalancerIp,
                    const Subscribe& aMessage);
 
+  /** Records the start of a new incarnation of the server, which all balancers
+   * get reported. */
+  void OnServerStart(TimePoint aNow);
+
   /** Returns the reports that are due, with the server's current load, and
    * drops expired subscriptions. */
   DueReports OnTick(TimePoint aNow, const ServerLoad& aLoad);
@@ -61,6 +66,7 @@
   /** The full report without the load, which is set when it is sent. */
   AgentReport m_report;
   uint32_t m_serviceTag;
+  std::optional<TimePoint> m_serverStartedAt;
   std::map<uint32_t, Subscriber> m_subscribers;
   bool m_isStoreCheckDue = false;
   /** Time of the last subscription, or of the last store check for lack of one.
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -63,6 +63,9 @@
     m_loop.Post(std::move(aFunction));
   })
 {
+  if (m_settings.m_resetLostFlows) {
+    m_core.EnableLostFlowResets();
+  }
 }
 
 Result<void>
@@ -384,6 +387,12 @@
   if (!aStep.m_queriedAgents.empty()) {
     fields["asked"] = aStep.m_queriedAgents.size();
   }
+  if (aStep.m_unreachableCount > 0) {
+    fields["unreachable"] = aStep.m_unreachableCount;
+  }
+  if (aStep.m_unansweredCount > 0) {
+    fields["unanswered"] = aStep.m_unansweredCount;
+  }
   if (aStep.m_candidateCount > 0) {
     fields["candidates"] = aStep.m_candidateCount;
     fields["busy"] = aStep.m_busy;
@@ -435,6 +444,8 @@
            m_callerSocket->SendFailures() + m_agentSocket->SendFailures() +
              m_control.SendFailures());
   text.Add("bilberry_search_seconds", m_core.SearchTimes());
+  text.Add("bilberry_lost_flow_resets_total", m_core.LostFlowResets());
+  text.Add("bilberry_undecided_searches_total", m_core.UndecidedSearches());
   return { kHttpOk, {}, "text/plain", text.Text() };
 }
 
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -58,6 +58,9 @@
   /** Balancer: time without reports from an agent after which its entry is
    * removed from the store. */
   Milliseconds m_staleEntryAfter{ 600'000 };
+  /** Balancer: whether flows whose agent is unreachable are reset when no other
+   * agent has them. */
+  bool m_resetLostFlows = false;
   /** Agent: receives the packets that the server sends. */
   Endpoint m_serverListen;
   /** Agent: address at which the server receives packets. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -57,6 +57,27 @@
   Schedule(Duration(delay(m_random)), std::move(aRun));
 }
 
+void
+FakeFlowNet::SendToAgent(uint32_t aIp, std::function<void(Server&)> aRun)
+{
+  SendDelayed([this, aIp, run = std::move(aRun)] { ReceiveAtAgent(aIp, run); });
+}
+
+void
+FakeFlowNet::ReceiveAtAgent(uint32_t aIp,
+                            const std::function<void(Server&)>& aRun)
+{
+  Server& server = m_servers.at(aIp);
+  if (server.m_isGone) {
+    return;
+  }
+  if (m_now < server.m_pausedUntil) {
+    return Schedule(server.m_pausedUntil - m_now,
+                    [this, aIp, aRun] { ReceiveAtAgent(aIp, aRun); });
+  }
+  aRun(server);
+}
+
 void
 FakeFlowNet::RunFor(Duration aTime)
 {
@@ -87,6 +108,9 @@
 {
   aBalancer.m_core =
     std::make_unique<FlowBalancer>(aBalancer.m_domain, m_random());
+  if (m_resetsLostFlows) {
+    aBalancer.m_core->EnableLostFlowResets();
+  }
   if (m_routes) {
     aBalancer.m_core->SetRoutes(m_routes);
   }
@@ -140,6 +164,7 @@
 FakeFlowNet::RestartServer(uint32_t aIp)
 {
   Server& server = m_servers.at(aIp);
+  server.m_isGone = false;
   server.m_incarnation += 1;
   server.m_sequence = 0;
   server.m_flowStates.clear();
@@ -147,6 +172,12 @@
   server.m_running = 0;
 }
 
+void
+FakeFlowNet::PauseServer(uint32_t aIp, Duration aTime)
+{
+  m_servers.at(aIp).m_pausedUntil = m_now + aTime;
+}
+
 void
 FakeFlowNet::KillServer(uint32_t aIp)
 {
@@ -178,7 +209,8 @@
 void
 FakeFlowNet::Heartbeat(Server& aServer)
 {
-  if (!aServer.m_isHung && !aServer.m_isGone) {
+  bool isPaused = m_now < aServer.m_pausedUntil;
+  if (!aServer.m_isHung && !aServer.m_isGone && !isPaused) {
     aServer.m_agent->OnHeartbeat(m_now,
                                  { "s",
                                    aServer.m_incarnation,
@@ -229,7 +261,7 @@
 FakeFlowNet::Tick()
 {
   for (auto& [ip, server] : m_servers) {
-    if (server.m_isGone) {
+    if (server.m_isGone || m_now < server.m_pausedUntil) {
       continue;
     }
     for (UnansweredSyn& syn : server.m_agent->TakeUnansweredSyns(m_now)) {
@@ -252,7 +284,7 @@
     }
   }
   for (size_t i = 0; i < m_balancers.size(); ++i) {
-    m_balancers[i].m_core->SetAgentsCurrent(m_now, true);
+    m_balancers[i].m_core->SetAgentsCurrent(m_now, m_areAgentsCurrent);
     ExecuteSteps(i, m_balancers[i].m_core->OnTick(m_now), {});
     SendSubscriptions(m_balancers[i]);
   }
@@ -271,11 +303,8 @@
   RoutesHolder routes{ aBalancer.m_core->RoutesVersion(), {} };
   for (const DueSubscription& due :
        TakeDueSubscriptions(m_now, aBalancer.m_core->Agents(), routes, {})) {
-    SendDelayed([this, due, ip = aBalancer.m_ip] {
-      Server& server = m_servers.at(due.m_agentIp);
-      if (!server.m_isGone) {
-        server.m_agent->OnSubscribe(m_now, ip, due.m_message);
-      }
+    SendToAgent(due.m_agentIp, [this, due, ip = aBalancer.m_ip](auto& aServer) {
+      aServer.m_agent->OnSubscribe(m_now, ip, due.m_message);
     });
   }
 }
@@ -325,6 +354,14 @@
   });
 }
 
+void
+FakeFlowNet::RepeatRequest(size_t aFlow)
+{
+  if (m_flows[aFlow].m_state == FlowState::Open) {
+    SendFromCaller(aFlow, kAck, kRequestBytes);
+  }
+}
+
 void
 FakeFlowNet::SendFromCaller(size_t aFlow, uint8_t aFlags, uint16_t aLength)
 {
@@ -365,7 +402,8 @@
     header.m_tag = step.m_tag;
     header.m_mark = step.m_mark;
     if (step.m_action == FlowBalancerAction::Forward) {
-      SendDelayed([this, ip = step.m_packets.m_ip, header, balancerIp] {
+      uint32_t ip = step.m_packets.m_ip;
+      SendToAgent(ip, [this, ip, header, balancerIp](const Server&) {
         DeliverToAgent(ip, header, balancerIp);
       });
     } else if (step.m_action == FlowBalancerAction::Reset) {
@@ -386,12 +424,8 @@
 FakeFlowNet::SendQuery(size_t aBalancer, uint32_t aIp, const FlowQuery& aQuery)
 {
   m_queryCount += 1;
-  SendDelayed([this, aIp, aQuery, aBalancer] {
-    Server& server = m_servers.at(aIp);
-    if (server.m_isGone) {
-      return;
-    }
-    FlowAnswer answer = server.m_agent->OnQuery(m_now, aQuery);
+  SendToAgent(aIp, [this, aIp, aQuery, aBalancer](auto& aServer) {
+    FlowAnswer answer = aServer.m_agent->OnQuery(m_now, aQuery);
     SendDelayed([this, aIp, answer, aBalancer] {
       FlowBalancer& core = *m_balancers[aBalancer].m_core;
       ExecuteSteps(aBalancer, core.OnAnswer(m_now, aIp, answer), {});
@@ -405,9 +439,6 @@
                             uint32_t aBalancerIp)
 {
   Server& server = m_servers.at(aIp);
-  if (server.m_isGone) {
-    return;
-  }
   std::vector<uint8_t> bytes = ToBytes(aHeader);
   AgentDecision decision =
     server.m_agent->OnBalancerPacket(m_now, aHeader, bytes, aBalancerIp);
@@ -577,6 +608,7 @@
   }
   if (aHeader.Has(kReset)) {
     flow.m_state = FlowState::Reset;
+    flow.m_resetAt = m_now;
   } else if (aHeader.Has(kSyn) && flow.m_state == FlowState::Handshake) {
     flow.m_state = FlowState::Open;
     flow.m_serverSeq = aHeader.m_seq;
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -39,6 +39,7 @@
   /** Packets that reached another server after that. */
   uint32_t m_misroutedPackets = 0;
   uint32_t m_sentPackets = 0;
+  TimePoint m_resetAt;
 };
 
 /**
@@ -66,6 +67,9 @@
   void RestartBalancer(size_t aBalancer);
   void RestartAgent(uint32_t aIp);
   void RestartServer(uint32_t aIp);
+  /** Stops the agent and its server for aTime. Packets and messages to them are
+   * processed afterwards. */
+  void PauseServer(uint32_t aIp, Duration aTime);
   /** Stops the server and its agent without notice. */
   void KillServer(uint32_t aIp);
   /** The server reports that it drains. */
@@ -79,6 +83,9 @@
    */
   size_t OpenFlow(const Endpoint& aService);
 
+  /** Sends the request of an open flow again. */
+  void RepeatRequest(size_t aFlow);
+
   /** Runs the events of the next aTime. */
   void RunFor(Duration aTime);
 
@@ -104,6 +111,10 @@
   size_t m_serverQueue = 16;
   /** Time after which a caller gives up silently. */
   Duration m_callerTimeout = Seconds(60);
+  /** Whether balancers that start from now on reset lost flows. */
+  bool m_resetsLostFlows = false;
+  /** Whether the balancers' lists of agents match the store. */
+  bool m_areAgentsCurrent = true;
   /** Time that a request takes at a server. */
   Duration m_requestTime = Milliseconds(20);
 
@@ -125,6 +136,7 @@
     bool m_isDraining = false;
     bool m_isHung = false;
     bool m_isGone = false;
+    TimePoint m_pausedUntil;
     uint32_t m_running = 0;
     uint32_t m_synCount = 0;
     std::deque<FlowKey> m_queue;
@@ -150,6 +162,9 @@
 
   void Schedule(Duration aDelay, std::function<void()> aRun);
   void SendDelayed(std::function<void()> aRun);
+  /** As SendDelayed, to an agent; a killed one receives nothing. */
+  void SendToAgent(uint32_t aIp, std::function<void(Server&)> aRun);
+  void ReceiveAtAgent(uint32_t aIp, const std::function<void(Server&)>& aRun);
   void Tick();
   void Heartbeat(Server& aServer);
   void ListAgents(FlowBalancer& aCore);
--- /dev/null
+++ b/test/correctness/AgentReachability.cpp
@@ -0,0 +1,165 @@
+#include "AgentReachability.h"
+#include "FlowBalancer.h"
+#include "FlowSamples.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+constexpr uint32_t kFirst = 0x0A010001;
+constexpr uint32_t kAgents = 8;
+
+/** A list of eight agents of "desk", of which the first one is observed. */
+struct Site
+{
+  void List(uint32_t aCount)
+  {
+    std::vector<AgentEntry> entries;
+    for (uint32_t i = 0; i < aCount; ++i) {
+      entries.push_back({ "desk", DomainOf(kFirst + i), { kFirst + i, 8000 } });
+    }
+    m_revision += 1;
+    m_agents.SetListed(m_now, { 1, m_revision }, entries);
+  }
+
+  std::string DomainOf(uint32_t aIp) const
+  {
+    return aIp == kFirst ? m_firstDomain : "a";
+  }
+
+  void RestartAll(uint32_t aFrom, uint32_t aTo)
+  {
+    for (uint32_t i = aFrom; i < aTo; ++i) {
+      m_startedAt[kFirst + i] = m_now;
+    }
+  }
+
+  /** Agents aFrom to aTo report at each tick of aTime. */
+  void RunFor(Duration aTime,
+              uint32_t aFrom,
+              uint32_t aTo,
+              Duration aTick = FlowBalancer::kTick)
+  {
+    for (TimePoint end = m_now + aTime; m_now < end; m_now += aTick) {
+      for (uint32_t ip = kFirst + aFrom; ip < kFirst + aTo; ++ip) {
+        AgentReport report = ReadyReport({ ip, 8000 }, DomainOf(ip));
+        if (m_startedAt.contains(ip)) {
+          report.m_sinceServerStart =
+            Milliseconds(1) +
+            std::chrono::duration_cast<Milliseconds>(m_now - m_startedAt[ip]);
+        }
+        m_agents.OnReport(m_now, report);
+      }
+      m_reachability.OnTick(m_now);
+    }
+  }
+
+  bool IsUnreachable(uint32_t aIp = kFirst)
+  {
+    return m_reachability.IsUnreachable(m_now, *m_agents.Find(aIp));
+  }
+
+  TimePoint m_now{ Seconds(100) };
+  uint64_t m_revision = 0;
+  /** Failure domain of the first agent. */
+  std::string m_firstDomain = "a";
+  std::map<uint32_t, TimePoint> m_startedAt;
+  AgentList m_agents{ "a" };
+  AgentReachability m_reachability{ m_agents };
+};
+
+/** A site whose agents report and whose servers started long ago. */
+struct RunningSite : Site
+{
+  explicit RunningSite(const std::string& aFirstDomain = "a")
+  {
+    m_firstDomain = aFirstDomain;
+    List(kAgents);
+    RestartAll(0, kAgents);
+    RunFor(Seconds(20), 0, kAgents);
+  }
+};
+
+} // namespace
+
+// Guards against resets of flows whose VM is only paused for a few seconds.
+Test(AgentReachability, APausedAgentIsReachableForSixSeconds)
+{
+  RunningSite site;
+  site.RunFor(Milliseconds(5900), 1, kAgents);
+  cr_assert_not(site.IsUnreachable());
+  site.RunFor(Milliseconds(200), 1, kAgents);
+  cr_assert(site.IsUnreachable());
+}
+
+// Guards against callers that wait for a server that a power loss ended.
+Test(AgentReachability, AfterAGeneralRestartOneSecondIsEnough)
+{
+  RunningSite site;
+  site.RunFor(Milliseconds(600), 0, 0);
+  site.RestartAll(1, kAgents);
+  site.RunFor(Milliseconds(300), 1, kAgents);
+  cr_assert_not(site.IsUnreachable());
+  site.RunFor(Milliseconds(300), 1, kAgents);
+  cr_assert(site.IsUnreachable());
+}
+
+// Guards against taking a release for a power loss, both one that replaced all
+// other servers before the pause and one that replaces half of them during it.
+Test(AgentReachability, ARollingReleaseIsNoGeneralRestart)
+{
+  RunningSite before;
+  before.RestartAll(1, kAgents);
+  before.RunFor(Seconds(1), 0, kAgents);
+  before.RunFor(Seconds(3), 1, kAgents);
+  cr_assert_not(before.IsUnreachable());
+  RunningSite during;
+  during.RestartAll(kAgents / 2, kAgents);
+  during.RunFor(Seconds(3), 1, kAgents);
+  cr_assert_not(during.IsUnreachable());
+}
+
+// Guards against resets of flows in a failure domain that is only cut off while
+// another one loses power.
+Test(AgentReachability, ARestartInAnotherDomainIsNoEvidence)
+{
+  RunningSite site("b");
+  site.RestartAll(1, kAgents);
+  site.RunFor(Seconds(3), 1, kAgents);
+  cr_assert_not(site.IsUnreachable());
+}
+
+// Guards against decisions of a balancer that has just started or is cut off.
+Test(AgentReachability, NothingIsDecidedWhenFewAgentsAreHeard)
+{
+  Site site;
+  site.List(kAgents);
+  site.RestartAll(1, kAgents);
+  site.RunFor(Seconds(10), 1, kAgents / 2);
+  cr_assert_not(site.IsUnreachable());
+}
+
+// Another balancer may have placed flows at a new agent that this one has not
+// heard yet.
+Test(AgentReachability, ANewAgentDoesNotBelongToAnEarlierRestart)
+{
+  Site site;
+  site.List(kAgents);
+  site.RestartAll(0, kAgents);
+  site.RunFor(Seconds(1), 0, kAgents);
+  site.List(kAgents + 1);
+  site.RunFor(Seconds(5), 0, kAgents);
+  cr_assert_not(site.IsUnreachable(kFirst + kAgents));
+  site.RunFor(Milliseconds(1100), 0, kAgents);
+  cr_assert(site.IsUnreachable(kFirst + kAgents));
+}
+
+// A process without processor time has not read the reports that arrived.
+Test(AgentReachability, DelaysOfTheProcessAreNoSilence)
+{
+  RunningSite site;
+  site.RunFor(Seconds(10), 1, kAgents, Milliseconds(100));
+  cr_assert_not(site.IsUnreachable());
+}
--- a/test/correctness/FlowSearch.cpp
+++ b/test/correctness/FlowSearch.cpp
@@ -94,6 +94,22 @@
   cr_assert_not(search.m_searches.Contains(FlowNumber(1)));
 }
 
+// Guards against searches that wait for agents of VMs that are gone, and
+// against a decision while an agent that may have the flow is reachable.
+Test(FlowSearch, EndsWhenOnlyUnreachableAgentsHaveNotAnswered)
+{
+  SearchAmongThree search;
+  auto isUnreachable = [](uint32_t aIp) { return aIp == 3; };
+  search.Answer(Milliseconds(2), 1, FlowOwnership::No);
+  TimePoint at = kStart + Milliseconds(220);
+  cr_assert(search.m_searches.OnTick(at, isUnreachable).empty());
+  search.Answer(Milliseconds(225), 2, FlowOwnership::No);
+  std::vector<SearchStep> steps = search.m_searches.OnTick(at, isUnreachable);
+  cr_assert_eq(steps.size(), 1);
+  cr_assert(steps[0].m_action == SearchAction::Lost);
+  cr_assert(steps[0].m_unanswered == std::vector<uint32_t>({ 3 }));
+}
+
 // The server of a flow must receive its packet soon, no matter how many agents
 // started after their servers and how slowly the wrong ones return the packet.
 Test(FlowSearch, TriesAllPossibleAgentsAtOnce)
