Test an answer that arrives after its search

Cause: no test failed when a confirmation that came after an undecided search was ignored, so the next packet would start another search unnoticed. Change: a test of it.

--- a/test/correctness/LostFlowResets.cpp
+++ b/test/correctness/LostFlowResets.cpp
@@ -144,6 +144,23 @@
   cr_assert_eq(site.m_net.QueryCount(), settled);
 }
 
+// Guards against another search although an agent has confirmed the flow after
+// its search had ended.
+Test(LostFlowResets, UseAnAnswerThatArrivesAfterTheSearch)
+{
+  LongFlows site;
+  // The caller's own retransmissions are over after 3 s.
+  site.m_net.RunFor(Seconds(4));
+  site.m_net.PauseServer(site.m_lost, Milliseconds(1300));
+  site.RestartBalancers();
+  site.RunCallersFor(Milliseconds(200));
+  site.m_net.RunFor(Milliseconds(1200));
+  uint64_t queries = site.m_net.QueryCount();
+  site.RunCallersFor(Milliseconds(200));
+  cr_assert_eq(site.m_net.QueryCount(), queries);
+  cr_assert_eq(site.ResetCount(), 0);
+}
+
 // Guards against callers that wait although their flow's balancer ran through.
 Test(LostFlowResets, CoverFlowsThatTheBalancerKnows)
 {
