--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -29,6 +29,7 @@
   }
   // The first list after a restoration is a copy of the past. An agent that
   // only it names may have left since.
+  bool isFirst = !m_position.IsKnown();
   bool isFromCopy = m_position.IsKnown() && aPosition.m_era != m_position.m_era;
   m_position = aPosition;
   for (auto& [ip, agent] : m_agents) {
@@ -38,6 +39,7 @@
     AgentState& agent = Upsert(aNow, entry);
     agent.m_isListed = true;
     agent.m_mustReport = agent.m_mustReport || isFromCopy;
+    agent.m_isInFirstList = agent.m_isInFirstList || isFirst;
   }
 }
 
@@ -79,7 +81,11 @@
   AgentState& agent =
     Upsert(aNow, { aReport.m_service, aReport.m_domain, aReport.m_packets });
   agent.m_lastReport = aNow;
-  SetLoad(agent, aReport.m_load);
+  agent.m_serverStartedAt = std::nullopt;
+  if (aReport.m_sinceServerStart > Milliseconds(0)) {
+    agent.m_serverStartedAt = aNow - aReport.m_sinceServerStart;
+  }
+  SetLoad(aNow, agent, aReport.m_load);
 }
 
 void
@@ -90,12 +96,20 @@
     return;
   }
   found->second.m_lastReport = aNow;
-  SetLoad(found->second, aLoad);
+  SetLoad(aNow, found->second, aLoad);
 }
 
 void
-AgentList::SetLoad(AgentState& aAgent, const ServerLoad& aLoad)
+AgentList::SetLoad(TimePoint aNow, AgentState& aAgent, const ServerLoad& aLoad)
 {
+  if (aLoad.m_condition != ServerCondition::Unknown) {
+    aAgent.m_serverKnownAt = aNow;
+    aAgent.m_serverUnknownSince = std::nullopt;
+  } else if (!aAgent.m_serverUnknownSince) {
+    // The agent has restarted, so a start that it saw earlier is outdated.
+    aAgent.m_serverUnknownSince = aNow;
+    aAgent.m_serverStartedAt = std::nullopt;
+  }
   aAgent.m_load = aLoad;
   aAgent.m_load.m_slots = std::max<uint32_t>(aLoad.m_slots, 1);
 }
@@ -168,6 +182,9 @@
     if (agent.m_lastReport) {
       *agent.m_lastReport += aPause;
     }
+    if (agent.m_serverUnknownSince) {
+      *agent.m_serverUnknownSince += aPause;
+    }
   }
 }
 
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -42,6 +42,7 @@
                 m_options.m_packets,
                 {},
                 {},
+                {},
                 {} },
               aStart)
   , m_startup(m_options.m_startup, aStart)
@@ -475,6 +476,7 @@
       m_answerUs = 0;
       m_answerCount = 0;
     }
+    m_reports.OnServerStart(aNow);
   }
   return result;
 }
--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kMaxCheckInterval = Seconds(10);
 /** A subscription lives for four renewals; two of them may be late. */
 constexpr int kLifetimesPerCheck = 2;
+/** Age up to which a server's start matters to balancers. */
+constexpr Duration kStartReportPeriod = Seconds(10);
+/** Zero would mean that the agent did not see the server's start. */
+constexpr Milliseconds kMinSinceStart{ 1 };
 
 bool
 IsFull(const ServerLoad& aLoad)
@@ -40,10 +44,16 @@
   m_lastSubscribed = aNow;
   m_checkAfter = std::max<Duration>(
     kFirstCheckAfter, aMessage.m_intervals.m_lifetime / kLifetimesPerCheck);
-  Subscriber& subscriber = m_subscribers[aBalancerIp];
+  auto [found, isNew] = m_subscribers.try_emplace(aBalancerIp);
+  Subscriber& subscriber = found->second;
   subscriber.m_subscribedAt = aNow;
   subscriber.m_intervals = aMessage.m_intervals;
-  subscriber.m_hasAgentDetails = aMessage.m_reportedTag == m_serviceTag;
+  // A balancer that knew an earlier process of this agent has not been told of
+  // the server's start.
+  bool isStartNews = isNew && m_serverStartedAt &&
+                     aNow - *m_serverStartedAt < kStartReportPeriod;
+  subscriber.m_hasAgentDetails =
+    aMessage.m_reportedTag == m_serviceTag && !isStartNews;
   subscriber.m_routes = aMessage.m_routes.m_version;
   subscriber.m_agents = aMessage.m_agents.m_version;
   m_isStoreCheckDue = m_isStoreCheckDue || !aMessage.m_isListed;
@@ -55,6 +65,15 @@
   }
 }
 
+void
+ReportSchedule::OnServerStart(TimePoint aNow)
+{
+  m_serverStartedAt = aNow;
+  for (auto& [ip, subscriber] : m_subscribers) {
+    subscriber.m_hasAgentDetails = false;
+  }
+}
+
 bool
 ReportSchedule::IsDue(TimePoint aNow,
                       const Subscriber& aSubscriber,
@@ -117,6 +136,11 @@
   if (!due.m_reportRecipients.empty()) {
     due.m_report = m_report;
     due.m_report.m_load = aLoad;
+    if (m_serverStartedAt) {
+      due.m_report.m_sinceServerStart = std::max(
+        kMinSinceStart,
+        std::chrono::duration_cast<Milliseconds>(aNow - *m_serverStartedAt));
+    }
   }
   return due;
 }
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -184,6 +184,7 @@
     if (kHasHardLoadSettings && m_hasEvacuations) {
       settings["evacuations"] = true;
     }
+    settings["reset_lost_flows"] = true;
   }
   settings["shutdown_limit_ms"] = m_shutdownLimit.count();
   return settings.dump(2);
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -39,6 +39,7 @@
   /** Packets that reached another server after that. */
   uint32_t m_misroutedPackets = 0;
   uint32_t m_sentPackets = 0;
+  TimePoint m_resetAt;
 };
 
 /**
@@ -69,6 +70,9 @@
   /** The server loses its state, runs again and sends its first heartbeat. It
    * is cold for aWarmup. */
   void StartCold(uint32_t aIp, Duration aWarmup);
+  /** Stops the agent and its server for aTime. Packets and messages to them are
+   * processed afterwards. */
+  void PauseServer(uint32_t aIp, Duration aTime);
   /** Stops the server and its agent without notice. */
   void KillServer(uint32_t aIp);
   /** The server reports that it drains. */
@@ -87,6 +91,8 @@
 
   /** Opens flows at a constant rate for aTime. */
   void OpenFlows(const Endpoint& aService, int aPerSecond, Duration aTime);
+  /** Sends the request of an open flow again. */
+  void RepeatRequest(size_t aFlow);
 
   /** Runs the events of the next aTime. */
   void RunFor(Duration aTime);
@@ -123,6 +129,10 @@
   bool m_ejectsFailingServers = false;
   /** Time after which a caller gives up silently. */
   Duration m_callerTimeout = Seconds(60);
+  /** Whether balancers that start from now on reset lost flows. */
+  bool m_resetsLostFlows = false;
+  /** Whether the balancers' lists of agents match the store. */
+  bool m_areAgentsCurrent = true;
   /** Time that a request takes at a server. */
   Duration m_requestTime = Milliseconds(20);
   /** Time that a request takes at a cold server; zero: m_requestTime. */
@@ -153,6 +163,7 @@
     bool m_isHung = false;
     bool m_resetsRequests = false;
     bool m_isGone = false;
+    TimePoint m_pausedUntil;
     uint32_t m_running = 0;
     uint32_t m_synCount = 0;
     std::vector<TimePoint> m_flowTimes;
@@ -180,6 +191,9 @@
 
   void Schedule(Duration aDelay, std::function<void()> aRun);
   void SendDelayed(std::function<void()> aRun);
+  /** As SendDelayed, to an agent; a killed one receives nothing. */
+  void SendToAgent(uint32_t aIp, std::function<void(Server&)> aRun);
+  void ReceiveAtAgent(uint32_t aIp, const std::function<void(Server&)>& aRun);
   void Tick();
   void Heartbeat(Server& aServer);
   void SendHeartbeat(Server& aServer);
