Keep new flows out of evacuated failure domains

The store's kind evacuations names failure domains to which no new flows may be sent; until now nothing read it. Balancers watch it where the setting evacuations is on, leave out the agents of these domains, and pass the newest set on to agents. Agents return new and queued SYN packets with the reason evacuated and tell the balancers that learn late. A process that knows no set sends the messages of before.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -80,6 +80,7 @@
     Upsert(aNow, { aReport.m_service, aReport.m_domain, aReport.m_packets });
   agent.m_lastReport = aNow;
   SetLoad(agent, aReport.m_load);
+  m_evacuations.Update(aNow, aReport.m_evacuations);
 }
 
 void
@@ -112,7 +113,8 @@
   AgentState& agent = found->second;
   agent.m_lastSubscription = { aNow,
                                aMessage.m_routes.m_version,
-                               aMessage.m_agents.m_version };
+                               aMessage.m_agents.m_version,
+                               m_evacuations.NewsCount() };
   agent.m_reportTimeout =
     kMaxMissedReports * aMessage.m_intervals.m_unchanged + kReportGracePeriod;
 }
@@ -133,6 +135,7 @@
       break;
     case ReturnReason::NotAccepting:
     case ReturnReason::WrongService:
+    case ReturnReason::Evacuated:
       agent.m_load.m_condition = ServerCondition::Draining;
       break;
     case ReturnReason::Silent:
@@ -215,7 +218,7 @@
                     (IsReporting(aNow, agent) &&
                      agent.m_load.m_condition == ServerCondition::Ready);
     bool wasTried = std::find(aTried.begin(), aTried.end(), ip) != aTried.end();
-    if (!isUsable || wasTried) {
+    if (!isUsable || wasTried || IsEvacuated(aNow, agent)) {
       continue;
     }
     candidates.push_back({ ip,
@@ -240,12 +243,54 @@
   const std::set<uint32_t>& agents = AgentsOf(aService);
   return std::any_of(agents.begin(), agents.end(), [&](uint32_t aIp) {
     const AgentState& agent = m_agents.at(aIp);
-    bool isPresent =
-      IsReporting(aNow, agent) || IsAwaitingFirstReport(aNow, agent);
-    return isPresent && agent.m_load.m_condition == ServerCondition::Unknown;
+    return IsPresent(aNow, agent) && !IsEvacuated(aNow, agent) &&
+           agent.m_load.m_condition == ServerCondition::Unknown;
   });
 }
 
+bool
+AgentList::IsPresent(TimePoint aNow, const AgentState& aAgent) const
+{
+  return IsReporting(aNow, aAgent) || IsAwaitingFirstReport(aNow, aAgent);
+}
+
+bool
+AgentList::IsEvacuated(TimePoint aNow, const AgentState& aAgent) const
+{
+  return m_evacuations.Contains(aNow, aAgent.m_entry.m_domain);
+}
+
+bool
+AgentList::IsServiceEvacuated(TimePoint aNow, const std::string& aService) const
+{
+  bool hasEvacuated = false;
+  for (uint32_t ip : AgentsOf(aService)) {
+    const AgentState& agent = m_agents.at(ip);
+    if (IsEvacuated(aNow, agent)) {
+      hasEvacuated = true;
+    } else if (IsPresent(aNow, agent)) {
+      return false;
+    }
+  }
+  return hasEvacuated;
+}
+
+std::vector<std::string>
+AgentList::EvacuatedWithoutAgents() const
+{
+  if (!IsLoaded()) {
+    return {};
+  }
+  std::vector<std::string> domains = m_evacuations.Latest().m_domains;
+  std::erase_if(domains, [&](const std::string& aDomain) {
+    return std::any_of(
+      m_agents.begin(), m_agents.end(), [&](const auto& aItem) {
+        return aItem.second.m_entry.m_domain == aDomain;
+      });
+  });
+  return domains;
+}
+
 const std::set<uint32_t>&
 AgentList::AgentsOf(const std::string& aService) const
 {
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -33,6 +33,8 @@
   /** Versions that the subscription announced. */
   uint64_t m_routesVersion = 0;
   StorePosition m_agentsPosition;
+  /** Evacuations::NewsCount at that time. */
+  uint64_t m_evacuationNews = 0;
 };
 
 /** The state of an agent at one balancer. */
@@ -62,8 +64,8 @@
   }
 };
 
-/** All agents at one balancer, merged from the store's list and from reports.
- */
+/** All agents at one balancer, merged from the store's list and from reports,
+ * and the failure domains that get no new flows. */
 class AgentList
 {
 public:
@@ -107,17 +109,29 @@
   /** Evicts agents that are neither listed nor reporting. */
   void OnTick(TimePoint aNow);
 
-  /** Servers that may get a new flow of a service, except those in aTried.
-   * Includes newly listed agents that have not reported yet. */
+  /** Servers that may get a new flow of a service, except those in aTried and
+   * those in evacuated failure domains. Includes newly listed agents that have
+   * not reported yet. */
   std::vector<PlacementCandidate> Candidates(
     TimePoint aNow,
     const std::string& aService,
     std::span<const uint32_t> aTried) const;
 
   /** True while an agent of the service is present whose server's condition is
-   * still unknown. */
+   * still unknown and whose failure domain is not evacuated. */
   bool HasPendingServer(TimePoint aNow, const std::string& aService) const;
 
+  /** True if the service has agents in evacuated failure domains, and no agent
+   * in another domain is present. */
+  bool IsServiceEvacuated(TimePoint aNow, const std::string& aService) const;
+
+  Evacuations& EvacuatedDomains() { return m_evacuations; }
+  const Evacuations& EvacuatedDomains() const { return m_evacuations; }
+
+  /** Evacuated failure domains that no known agent is in. Empty before the
+   * first list of the store. */
+  std::vector<std::string> EvacuatedWithoutAgents() const;
+
   /** Addresses of all agents of a service, whatever their condition. */
   const std::set<uint32_t>& AgentsOf(const std::string& aService) const;
 
@@ -150,9 +164,13 @@
   static void SetLoad(AgentState& aAgent, const ServerLoad& aLoad);
   void RemoveFromService(uint32_t aAgentIp, const std::string& aService);
   bool IsAwaitingFirstReport(TimePoint aNow, const AgentState& aAgent) const;
+  /** True if the agent is reporting or will soon do so. */
+  bool IsPresent(TimePoint aNow, const AgentState& aAgent) const;
+  bool IsEvacuated(TimePoint aNow, const AgentState& aAgent) const;
 
   std::string m_ownDomain;
   StorePosition m_position;
+  Evacuations m_evacuations;
   TimePoint m_nextEviction;
   std::map<uint32_t, AgentState> m_agents;
   /** Agent addresses by service, in ascending order. */
--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -40,6 +40,7 @@
                 m_options.m_packets,
                 {},
                 {},
+                {},
                 {} },
               aStart)
 {
@@ -148,15 +149,9 @@
   if (existing && existing->m_phase != Phase::Closed) {
     return { FlowAgentAction::Deliver };
   }
-  ServerCondition condition = Condition(aNow);
-  if (condition == ServerCondition::Silent) {
-    return ReturnPacket(ReturnReason::Silent, aBalancerIp);
-  }
-  if (condition == ServerCondition::Unknown) {
-    return ReturnPacket(ReturnReason::Starting, aBalancerIp);
-  }
-  if (condition != ServerCondition::Ready) {
-    return ReturnPacket(ReturnReason::NotAccepting, aBalancerIp);
+  ReturnReason refusal = RefusalOfNewFlows(aNow);
+  if (refusal != ReturnReason::None) {
+    return ReturnPacket(refusal, aBalancerIp);
   }
   SynMark mark = SynMark::Unpack(aHeader.m_mark);
   QueuedSyn syn{
@@ -175,6 +170,30 @@
   return { FlowAgentAction::Deliver };
 }
 
+// A balancer that has not learned of an evacuation still sends flows here.
+ReturnReason
+FlowAgent::RefusalOfNewFlows(TimePoint aNow) const
+{
+  if (m_evacuations.Contains(aNow, m_options.m_domain)) {
+    return ReturnReason::Evacuated;
+  }
+  if (m_evacuations.IsOutdated(aNow)) {
+    return ReturnReason::Starting;
+  }
+  switch (Condition(aNow)) {
+    case ServerCondition::Ready:
+      return ReturnReason::None;
+    case ServerCondition::Silent:
+      return ReturnReason::Silent;
+    case ServerCondition::Unknown:
+      return ReturnReason::Starting;
+    case ServerCondition::Draining:
+    case ServerCondition::Gone:
+      break;
+  }
+  return ReturnReason::NotAccepting;
+}
+
 // A server answers in the order of arrival. Flows beyond the limit would delay
 // callers that arrive later and could still be answered in time.
 bool
@@ -224,10 +243,13 @@
 std::vector<DequeuedSyn>
 FlowAgent::TakeDequeuedSyns(TimePoint aNow)
 {
-  if (m_synQueue.Size() > 0 && Condition(aNow) != ServerCondition::Ready) {
+  ReturnReason refusal =
+    m_synQueue.Size() > 0 ? RefusalOfNewFlows(aNow) : ReturnReason::None;
+  if (refusal != ReturnReason::None) {
+    bool isEvacuated = refusal == ReturnReason::Evacuated;
     for (QueuedSyn& syn : m_synQueue.TakeAll()) {
-      AgentDecision decision =
-        ReturnPacket(ReturnReason::NotAccepting, syn.m_balancerIp);
+      AgentDecision decision = ReturnPacket(
+        isEvacuated ? refusal : ReturnReason::NotAccepting, syn.m_balancerIp);
       m_dequeuedSyns.push_back({ decision, std::move(syn) });
     }
   }
@@ -290,6 +312,7 @@
   if (pause == Duration(0)) {
     return;
   }
+  m_evacuations.OnPause(aNow, pause);
   m_server.OnPause(pause);
   for (SynEntry& syn : m_unansweredSyns) {
     syn.m_at += pause;
@@ -391,6 +414,7 @@
                        uint32_t aBalancerIp,
                        const Subscribe& aMessage)
 {
+  m_evacuations.Update(aNow, aMessage.m_evacuations);
   m_reports.OnSubscribe(aNow, aBalancerIp, aMessage);
 }
 
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -99,13 +99,18 @@
   /** Answers a balancer's query for a flow. */
   FlowAnswer OnQuery(TimePoint aNow, const FlowQuery& aQuery);
 
+  /** The evacuated failure domains that balancers told. */
+  Evacuations& EvacuatedDomains() { return m_evacuations; }
+  const Evacuations& EvacuatedDomains() const { return m_evacuations; }
+
   /** Stops accepting new flows, because the process is about to end. */
   void BeginShutdown() { m_isStopping = true; }
 
   /**
    * Returns the SYNs that leave the queue because the server can accept them,
-   * because it accepts no new flows any more, or because they were evicted or
-   * expired. To be called after each packet and each tick.
+   * because it accepts no new flows any more, because its failure domain is
+   * evacuated, or because they were evicted or expired. To be called after each
+   * packet and each tick.
    */
   std::vector<DequeuedSyn> TakeDequeuedSyns(TimePoint aNow);
 
@@ -186,6 +191,8 @@
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
   AgentDecision OnBounced(const PacketHeader& aHeader);
+  /** Why no new flow may reach the server; None if it may. */
+  ReturnReason RefusalOfNewFlows(TimePoint aNow) const;
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
   static bool IsBusy(Phase aPhase);
@@ -237,6 +244,7 @@
   /** Results for the next TakeDequeuedSyns call. */
   std::vector<DequeuedSyn> m_dequeuedSyns;
   ReportSchedule m_reports;
+  Evacuations m_evacuations;
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
 };
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -168,14 +168,20 @@
                         bool aIsAgain)
 {
   FlowKey key = aHeader.FlowFromCaller();
+  if (LacksEvacuations() || m_agents.EvacuatedDomains().IsOutdated(aNow)) {
+    // A restarted or paused balancer must not place a flow in a domain that was
+    // evacuated meanwhile. The caller retransmits the SYN.
+    m_flows.Erase(key);
+    return AddStep(FlowBalancerAction::Drop, FlowReason::NotYetLoaded, key);
+  }
   Flow* flow = m_flows.Find(key);
   const std::string& service = ChooseTarget(aRoute, key);
-  std::vector<PlacementCandidate> candidates = m_agents.Candidates(
-    aNow, service, { flow->m_tried.data(), flow->m_tryCount });
+  std::vector<PlacementCandidate> candidates = CandidatesFor(
+    aNow, service, *flow, { flow->m_tried.data(), flow->m_tryCount });
   std::optional<PlacementChoice> choice = ChoosePlacement(candidates, m_random);
   if (!choice && flow->m_tryCount > 0 && flow->m_tryCount < kMaxTries) {
     // All candidates were tried; one that was only full may queue the SYN.
-    candidates = m_agents.Candidates(aNow, service, {});
+    candidates = CandidatesFor(aNow, service, *flow, {});
     choice = ChoosePlacement(candidates, m_random);
   }
   if (!choice) {
@@ -197,6 +203,30 @@
   step.m_mark = MarkFor(aRoute, limit).Pack();
 }
 
+// The agents of a domain learn of its evacuation at about the same time, so
+// further tries in that domain would be in vain.
+std::vector<PlacementCandidate>
+FlowBalancer::CandidatesFor(TimePoint aNow,
+                            const std::string& aService,
+                            const Flow& aFlow,
+                            std::span<const uint32_t> aTried) const
+{
+  std::vector<PlacementCandidate> candidates =
+    m_agents.Candidates(aNow, aService, aTried);
+  for (size_t i = 0; i < aFlow.m_tryCount; ++i) {
+    const AgentState* tried = m_agents.Find(aFlow.m_tried[i]);
+    bool isEvacuated = (aFlow.m_evacuatedTries >> i & 1U) != 0;
+    if (!tried || !isEvacuated) {
+      continue;
+    }
+    std::erase_if(candidates, [&](const PlacementCandidate& aCandidate) {
+      const AgentState& agent = *m_agents.Find(aCandidate.m_agentIp);
+      return agent.m_entry.m_domain == tried->m_entry.m_domain;
+    });
+  }
+  return candidates;
+}
+
 // A returned packet costs the balancer as much as the placement did. A lagging
 // balancer therefore lets the agent queue the SYN earlier: that wait is shorter
 // than the delay that a longer queue at the balancer would add to all flows.
@@ -217,6 +247,9 @@
                          const std::string& aService)
 {
   FlowKey key = aHeader.FlowFromCaller();
+  Flow* flow = m_flows.Find(key);
+  bool isEvacuated = (flow && flow->m_evacuatedTries != 0) ||
+                     m_agents.IsServiceEvacuated(aNow, aService);
   m_flows.Erase(key);
   // If the SYN is dropped, the caller retransmits it soon. By then an agent
   // that has just started has received a heartbeat of its server.
@@ -224,7 +257,9 @@
     m_agents.IsLoaded() && !m_agents.HasPendingServer(aNow, aService);
   AddStep(isStateComplete ? FlowBalancerAction::Reset
                           : FlowBalancerAction::Drop,
-          isStateComplete ? FlowReason::NoServer : FlowReason::NotYetLoaded,
+          !isStateComplete ? FlowReason::NotYetLoaded
+          : isEvacuated    ? FlowReason::Evacuated
+                           : FlowReason::NoServer,
           key,
           aHeader.m_ack);
 }
@@ -271,6 +306,9 @@
     RefuseFlow(aNow, aHeader, ChooseTarget(*route, key));
     return m_steps;
   }
+  if (aReason == ReturnReason::Evacuated) {
+    flow->m_evacuatedTries |= static_cast<uint8_t>(1U << flow->m_tryCount);
+  }
   flow->m_tried[flow->m_tryCount++] = aAgentIp;
   PlaceFlow(aNow, aHeader, *route, true);
   return m_steps;
@@ -427,6 +465,7 @@
   Duration pause = m_pause.OnEvent(aNow);
   if (pause > Duration(0)) {
     m_agents.OnPause(pause);
+    m_agents.EvacuatedDomains().OnPause(aNow, pause);
   }
 }
 
@@ -456,8 +495,8 @@
 bool
 FlowBalancer::IsReady(TimePoint aNow) const
 {
-  return m_routes && m_agents.IsLoaded() && m_lastContact &&
-         aNow - *m_lastContact < kIsolationTimeout;
+  return m_routes && m_agents.IsLoaded() && !LacksEvacuations() &&
+         m_lastContact && aNow - *m_lastContact < kIsolationTimeout;
 }
 
 } // namespace bilberryfield
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -42,10 +42,11 @@
   Unowned,      /**< No agent was found for the flow. */
   TooManyHeld,  /**< The limit of concurrent searches is reached. */
   Searched,     /**< A search queries agents for the flow. */
+  Evacuated,    /**< All failure domains with servers are evacuated. */
   Count,
 };
 
-inline constexpr NameTable<FlowReason, 12> kFlowReasonNames = { {
+inline constexpr NameTable<FlowReason, 13> kFlowReasonNames = { {
   { FlowReason::Known, "known" },
   { FlowReason::Placed, "placed" },
   { FlowReason::PlacedAgain, "placed-again" },
@@ -58,6 +59,7 @@
   { FlowReason::Unowned, "unowned" },
   { FlowReason::TooManyHeld, "too-many-held" },
   { FlowReason::Searched, "searched" },
+  { FlowReason::Evacuated, "evacuated" },
 } };
 
 /** One action of a balancer and its parameters. */
@@ -123,13 +125,22 @@
                                             uint32_t aAgentIp,
                                             const FlowAnswer& aAnswer);
 
+  /** Places no flow before a set of evacuated failure domains is known. */
+  void RequireEvacuations() { m_requiresEvacuations = true; }
+  /** True while evacuated failure domains are required and not known. */
+  bool LacksEvacuations() const
+  {
+    return m_requiresEvacuations && !m_agents.EvacuatedDomains().IsKnown();
+  }
+
   /** Sets whether the list of agents matches the store. */
   void SetAgentsCurrent(TimePoint aNow, bool aAreCurrent);
 
   /** Handles timeouts; to be called every kTick. */
   const std::vector<BalancerStep>& OnTick(TimePoint aNow);
 
-  /** True if routes and agents are loaded and some agent reported recently. */
+  /** True if routes, agents and required evacuations are loaded and some agent
+   * reported recently. */
   bool IsReady(TimePoint aNow) const;
 
   /** Number of flows in the flow table. */
@@ -161,7 +172,10 @@
     /** Agents that returned the SYN or stopped reporting; the first m_tryCount
      * entries are valid. */
     std::array<uint32_t, kMaxTries> m_tried{};
+    /** Bit i is set if m_tried[i] is in an evacuated failure domain. */
+    uint8_t m_evacuatedTries = 0;
   };
+  static_assert(kMaxTries <= 8, "one bit for each try");
 
   /** Records the services of routes that change, for later searches. */
   void RecordEarlierServices(const RouteTable& aEarlier,
@@ -175,6 +189,13 @@
   /** Returns the m_busyLimit for a SYN: the number of busy flows at which the
    * agent returns it. */
   uint32_t BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const;
+  /** As AgentList::Candidates, without the failure domains whose agents
+   * returned the flow because they are evacuated. */
+  std::vector<PlacementCandidate> CandidatesFor(
+    TimePoint aNow,
+    const std::string& aService,
+    const Flow& aFlow,
+    std::span<const uint32_t> aTried) const;
   /** Resets or drops a new flow that no server can accept. */
   void RefuseFlow(TimePoint aNow,
                   const PacketHeader& aHeader,
@@ -205,6 +226,7 @@
   AgentList m_agents;
   std::mt19937_64 m_random;
   RouteTablePointer m_routes;
+  bool m_requiresEvacuations = false;
   /** Services that were targets of an address under earlier routes. */
   absl::flat_hash_map<Endpoint, std::set<std::string>> m_earlierServices;
   GenerationMap<FlowKey, Flow> m_flows;
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Evacuations.h"
 #include "NameTable.h"
 #include "Packet.h"
 #include "StorePosition.h"
@@ -103,6 +104,8 @@
   /** Service tag from the last report received from the agent; 0 before the
    * first one. */
   uint32_t m_reportedTag = 0;
+  /** Evacuated failure domains, as far as the balancer knows. */
+  EvacuationSet m_evacuations;
 
   bool operator==(const Subscribe&) const = default;
 
@@ -114,6 +117,7 @@
     aVisitor("a", aSelf.m_agents);
     aVisitor("l", aSelf.m_isListed);
     aVisitor("t", aSelf.m_reportedTag);
+    aVisitor.Optional("v", aSelf.m_evacuations);
   }
 };
 
@@ -144,7 +148,8 @@
 };
 
 /** Sent by an agent to a balancer that lacks the agent's details or has an
- * older version of the routes or the agent list. */
+ * older version of the routes or the agent list, or other evacuated failure
+ * domains. */
 struct AgentReport
 {
   std::string m_service;
@@ -155,6 +160,8 @@
   /** Newest versions in the subscriptions that the agent received. */
   RoutesHolder m_routes;
   AgentsHolder m_agents;
+  /** Newest set of evacuated failure domains in these subscriptions. */
+  EvacuationSet m_evacuations;
 
   bool operator==(const AgentReport&) const = default;
 
@@ -167,6 +174,7 @@
     aVisitor("l", aSelf.m_load);
     aVisitor("r", aSelf.m_routes);
     aVisitor("a", aSelf.m_agents);
+    aVisitor.Optional("v", aSelf.m_evacuations);
   }
 };
 
@@ -240,10 +248,11 @@
   WrongService, /**< The server at this address has another service. */
   NotOwner,     /**< The flow is not at this server. */
   Bounced,      /**< The server bounced the packet. */
+  Evacuated,    /**< The agent's failure domain is evacuated. */
   Count,
 };
 
-inline constexpr NameTable<ReturnReason, 8> kReturnReasonNames = { {
+inline constexpr NameTable<ReturnReason, 9> kReturnReasonNames = { {
   { ReturnReason::None, "none" },
   { ReturnReason::Full, "full" },
   { ReturnReason::Starting, "starting" },
@@ -252,6 +261,7 @@
   { ReturnReason::WrongService, "wrong-service" },
   { ReturnReason::NotOwner, "not-owner" },
   { ReturnReason::Bounced, "bounced" },
+  { ReturnReason::Evacuated, "evacuated" },
 } };
 
 /** SynMark::m_busyLimit without a limit: the agent admits or queues the SYN at
--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -46,6 +46,7 @@
   subscriber.m_hasAgentDetails = aMessage.m_reportedTag == m_serviceTag;
   subscriber.m_routes = aMessage.m_routes.m_version;
   subscriber.m_agents = aMessage.m_agents.m_version;
+  subscriber.m_evacuations = aMessage.m_evacuations;
   m_isStoreCheckDue = m_isStoreCheckDue || !aMessage.m_isListed;
   if (aMessage.m_routes.m_version >= m_report.m_routes.m_version) {
     m_report.m_routes = aMessage.m_routes;
@@ -53,6 +54,9 @@
   if (aMessage.m_agents.m_version >= m_report.m_agents.m_version) {
     m_report.m_agents = aMessage.m_agents;
   }
+  if (aMessage.m_evacuations.m_position > m_report.m_evacuations.m_position) {
+    m_report.m_evacuations = aMessage.m_evacuations;
+  }
 }
 
 bool
@@ -80,7 +84,8 @@
 {
   return !aSubscriber.m_hasAgentDetails ||
          aSubscriber.m_routes < m_report.m_routes.m_version ||
-         aSubscriber.m_agents < m_report.m_agents.m_version;
+         aSubscriber.m_agents < m_report.m_agents.m_version ||
+         m_report.m_evacuations.IsNewsFor(aSubscriber.m_evacuations);
 }
 
 DueReports
@@ -113,6 +118,7 @@
     subscriber.m_hasAgentDetails = true;
     subscriber.m_routes = m_report.m_routes.m_version;
     subscriber.m_agents = m_report.m_agents.m_version;
+    subscriber.m_evacuations = m_report.m_evacuations;
   }
   if (!due.m_reportRecipients.empty()) {
     due.m_report = m_report;
--- a/packages/flow/ReportSchedule.h
+++ b/packages/flow/ReportSchedule.h
@@ -51,6 +51,7 @@
     /** Versions that the balancer has, or that were reported to it. */
     RoutesVersion m_routes = 0;
     StorePosition m_agents;
+    EvacuationSet m_evacuations;
   };
 
   static bool IsDue(TimePoint aNow,
--- a/packages/flow/SubscriptionSchedule.cpp
+++ b/packages/flow/SubscriptionSchedule.cpp
@@ -105,7 +105,8 @@
   const SentSubscription& sent = *aAgent.m_lastSubscription;
   Duration elapsed = aNow - sent.m_at;
   bool hasNewVersion = sent.m_routesVersion != aNext.m_routesVersion ||
-                       sent.m_agentsPosition != aNext.m_agentsPosition;
+                       sent.m_agentsPosition != aNext.m_agentsPosition ||
+                       sent.m_evacuationNews != aNext.m_evacuationNews;
   return elapsed >= RenewalInterval(aAllAgents) ||
          (hasNewVersion && elapsed >= kVersionUpdateInterval) ||
          (elapsed >= RetryInterval(aAllAgents) &&
@@ -120,7 +121,10 @@
                      const RoutesHolder& aRoutes,
                      const AgentsHolder& aListed)
 {
-  SentSubscription next{ aNow, aRoutes.m_version, aListed.m_version };
+  const Evacuations& evacuations = aAgents.EvacuatedDomains();
+  SentSubscription next{
+    aNow, aRoutes.m_version, aListed.m_version, evacuations.NewsCount()
+  };
   size_t all = aAgents.All().size();
   size_t sameDomain = CountSameDomain(aAgents);
   std::vector<DueSubscription> due;
@@ -140,6 +144,7 @@
     message.m_agents = aListed;
     message.m_isListed = agent.m_isListed;
     message.m_reportedTag = agent.m_lastReport ? agent.m_serviceTag : 0;
+    message.m_evacuations = evacuations.Latest();
     due.push_back({ ip, message });
   }
   for (const DueSubscription& subscription : due) {
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -1,5 +1,6 @@
 #include "AgentDaemon.h"
 
+#include "EvacuationReports.h"
 #include "HeartbeatCodec.h"
 #include "HttpPaths.h"
 #include "HttpStatus.h"
@@ -230,6 +231,7 @@
            m_packetSocket->SendFailures() + m_serverSocket->SendFailures() +
              m_control.SendFailures());
   text.Add("bilberry_store_era", m_store.Era());
+  AddEvacuationMetrics(EventLoop::Now(), m_core.EvacuatedDomains(), text);
   text.Add("bilberry_journal_pending", m_journal.PendingCount());
   text.Add("bilberry_journal_lost_total", m_journal.LostCount());
   text.Add("bilberry_answer_seconds", m_core.AnswerTimes());
@@ -348,6 +350,7 @@
 AgentDaemon::OnTick()
 {
   TimePoint now = EventLoop::Now();
+  LogEvacuationChanges(now, m_core.EvacuatedDomains(), "balancer");
   for (UnansweredSyn& syn : m_core.TakeUnansweredSyns(now)) {
     ReturnToBalancer(syn.m_balancerIp,
                      ReturnReason::Silent,
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -1,5 +1,6 @@
 #include "BalancerDaemon.h"
 
+#include "EvacuationReports.h"
 #include "HttpPaths.h"
 #include "HttpStatus.h"
 #include "Log.h"
@@ -9,6 +10,8 @@
 #include "StoreWatchTiming.h"
 #include "SubscriptionSchedule.h"
 
+#include <algorithm>
+
 namespace bilberryfield {
 
 namespace {
@@ -31,19 +34,7 @@
                 OnControlMessage(aMessage, aFromIp);
               })
   , m_core(aSettings.m_domain, std::random_device{}())
-  , m_store(m_loop,
-            aSettings.m_platform,
-            { [this](const StoreObject& aObject) {
-               OnConfiguration(aObject.m_content, "store", aObject.m_position);
-             },
-              [this](const auto& aEntries, const StorePosition& aPosition) {
-                OnAgentsListed(aEntries, aPosition);
-              },
-              [this] {
-                std::uniform_real_distribution<double> draw(0, 1);
-                return ConfigWatchTimeout(m_core.Agents().All().size(),
-                                          draw(m_random));
-              } })
+  , m_store(m_loop, aSettings.m_platform, StoreCallbacks())
   , m_peerSync(m_loop,
                aSettings.m_seeds,
                aSettings.m_adminListen,
@@ -63,6 +54,32 @@
     m_loop.Post(std::move(aFunction));
   })
 {
+  if (m_settings.m_evacuations) {
+    m_core.RequireEvacuations();
+  }
+}
+
+StoreFollowerCallbacks
+BalancerDaemon::StoreCallbacks()
+{
+  StoreFollowerCallbacks callbacks;
+  callbacks.m_onConfiguration = [this](const StoreObject& aObject) {
+    OnConfiguration(aObject.m_content, "store", aObject.m_position);
+  };
+  callbacks.m_onAgents = [this](const auto& aEntries,
+                                const StorePosition& aPosition) {
+    OnAgentsListed(aEntries, aPosition);
+  };
+  if (m_settings.m_evacuations) {
+    callbacks.m_onEvacuations = [this](const EvacuationSet& aSet) {
+      OnEvacuations(aSet, "store");
+    };
+  }
+  callbacks.m_configWatchTimeout = [this] {
+    std::uniform_real_distribution<double> draw(0, 1);
+    return ConfigWatchTimeout(m_core.Agents().All().size(), draw(m_random));
+  };
+  return callbacks;
 }
 
 Result<void>
@@ -162,6 +179,39 @@
       EventLoop::Now(), aSnapshot.m_agentsPosition, aSnapshot.m_agents);
     SubscribeToAgents();
   }
+  OnEvacuations(aSnapshot.m_evacuations, "peer");
+}
+
+void
+BalancerDaemon::OnEvacuations(const EvacuationSet& aSet, const char* aSource)
+{
+  TimePoint now = EventLoop::Now();
+  if (m_core.Agents().EvacuatedDomains().Update(now, aSet)) {
+    LogEvacuations(now, aSource);
+  }
+}
+
+void
+BalancerDaemon::LogEvacuations(TimePoint aNow, const char* aSource)
+{
+  if (LogEvacuationChanges(aNow, m_core.Agents().EvacuatedDomains(), aSource)) {
+    WarnOfUnknownDomains();
+  }
+}
+
+void
+BalancerDaemon::WarnOfUnknownDomains()
+{
+  std::vector<std::string> unknown = m_core.Agents().EvacuatedWithoutAgents();
+  for (const std::string& domain : unknown) {
+    if (!std::binary_search(
+          m_unknownDomains.begin(), m_unknownDomains.end(), domain)) {
+      Log(LogLevel::Warning,
+          "evacuation-unknown-domain",
+          { { "domain", domain } });
+    }
+  }
+  m_unknownDomains = std::move(unknown);
 }
 
 AdminAnswer
@@ -181,6 +231,7 @@
       }
     }
   }
+  snapshot.m_evacuations = m_core.Agents().EvacuatedDomains().Latest();
   return { kHttpOk, EncodeSnapshot(snapshot) };
 }
 
@@ -210,6 +261,8 @@
              { "routes_version", m_core.RoutesVersion() },
              { "store_era", m_core.Agents().Position().m_era },
              { "agents_revision", m_core.Agents().Position().m_revision },
+             { "evacuated_domains",
+               m_core.Agents().EvacuatedDomains().InForce(now) },
              { "flows", m_core.FlowCount() },
              { "agents", std::move(agents) } } };
 }
@@ -245,7 +298,8 @@
   if (std::optional<Endpoint> peer = m_peerVersions.SelectPeer(now, own)) {
     return m_peerSync.FetchFrom(*peer, own);
   }
-  bool isLoaded = own.m_routes > 0 && own.m_agents.IsKnown();
+  bool isLoaded =
+    own.m_routes > 0 && own.m_agents.IsKnown() && !m_core.LacksEvacuations();
   if (!isLoaded && now - m_startedAt >= PeerVersions::kStoreGracePeriod) {
     m_peerSync.FetchFromNextSeed(own);
   }
@@ -264,6 +318,7 @@
         { "revision", aPosition.m_revision },
         { "in_force_era", inForce.m_era },
         { "in_force", inForce.m_revision } });
+  WarnOfUnknownDomains();
   SubscribeToAgents();
 }
 
@@ -328,6 +383,7 @@
                    { "sent_by", IpToText(aFromIp) } });
     }
     m_core.Agents().OnReport(now, *report);
+    LogEvacuations(now, "agent");
     m_peerVersions.OnReport(now, report->m_routes, report->m_agents);
   } else if (const auto* answer = std::get_if<FlowAnswer>(&aMessage)) {
     Execute(m_core.OnAnswer(now, aFromIp, *answer), {});
@@ -428,6 +484,8 @@
   text.Add("bilberry_agents_era", m_core.Agents().Position().m_era);
   text.Add("bilberry_agents_revision", m_core.Agents().Position().m_revision);
   m_store.AddMetrics(text);
+  AddEvacuationMetrics(
+    EventLoop::Now(), m_core.Agents().EvacuatedDomains(), text);
   text.Add("bilberry_ready", m_isReady ? 1 : 0);
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
   text.Add("bilberry_openings_left_out_total", m_synBacklog.DiscardedCount());
@@ -448,6 +506,7 @@
                    !m_peerVersions.HasNewerAgents(AgentsKnownUpTo());
   m_core.SetAgentsCurrent(now, isCurrent);
   Execute(m_core.OnTick(now), {});
+  LogEvacuations(now, "store");
   bool isReady = !m_shutdownStartedAt && m_core.IsReady(now);
   if (isReady != m_isReady) {
     m_isReady = isReady;
--- a/packages/flownode/BalancerDaemon.h
+++ b/packages/flownode/BalancerDaemon.h
@@ -28,6 +28,8 @@
   void BeginShutdown();
 
 private:
+  /** What the store's news lead to. */
+  StoreFollowerCallbacks StoreCallbacks();
   Result<void> OpenSockets();
   Result<void> StartServers();
   void OnCallerDatagram(std::span<uint8_t> aBytes);
@@ -38,6 +40,12 @@
                        const char* aSource,
                        const StorePosition& aPosition);
   void OnSnapshot(const PeerSnapshot& aSnapshot);
+  /** Adopts a set of evacuated failure domains if it is newer. aSource is named
+   * in the log. */
+  void OnEvacuations(const EvacuationSet& aSet, const char* aSource);
+  void LogEvacuations(TimePoint aNow, const char* aSource);
+  /** Logs each evacuated domain that no agent is in, once per evacuation. */
+  void WarnOfUnknownDomains();
   AdminAnswer Status() const;
   AdminAnswer Snapshot(const HttpIncoming& aRequest) const;
   LocalVersions CurrentVersions() const;
@@ -66,6 +74,8 @@
   SynBacklog m_synBacklog;
   PeerVersions m_peerVersions;
   PeerSync m_peerSync;
+  /** Evacuated domains that no agent is in, as logged last. */
+  std::vector<std::string> m_unknownDomains;
   /** JSON text of the configuration in force, as the operator stored it. */
   std::string m_configurationText;
   TimePoint m_startedAt;
--- a/packages/flownode/FlowJournal.cpp
+++ b/packages/flownode/FlowJournal.cpp
@@ -26,6 +26,7 @@
     case ReturnReason::Starting:
       return RefusalReason::NotReady;
     case ReturnReason::NotAccepting:
+    case ReturnReason::Evacuated:
       return RefusalReason::Draining;
     case ReturnReason::Silent:
       return RefusalReason::ServerUnreachable;
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -110,6 +110,8 @@
     settings.m_seeds = ReadSeeds(fields);
     settings.m_staleEntryAfter = fields.OptionalTime(
       "stale_entry_ms", settings.m_staleEntryAfter, kMinTime);
+    settings.m_evacuations =
+      fields.OptionalBoolean("evacuations", settings.m_evacuations);
   }
   fields.RejectUnknownKeys();
   if (!mistakes.empty()) {
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -58,6 +58,9 @@
   /** Balancer: time without reports from an agent after which its entry is
    * removed from the store. */
   Milliseconds m_staleEntryAfter{ 600'000 };
+  /** Balancer: watches the store's evacuations of failure domains, and places
+   * no flow before it knows them. */
+  bool m_evacuations = false;
   /** Agent: receives the packets that the server sends. */
   Endpoint m_serverListen;
   /** Agent: address at which the server receives packets. */
--- a/packages/flownode/PeerSync.cpp
+++ b/packages/flownode/PeerSync.cpp
@@ -11,6 +11,18 @@
 
 constexpr Duration kFetchTimeout = Milliseconds(1000);
 
+EvacuationSet
+DecodeEvacuations(const json& aSnapshot)
+{
+  auto found = aSnapshot.find("evacuations");
+  if (found == aSnapshot.end()) {
+    return {};
+  }
+  return { { found->at("era").get<uint64_t>(),
+             found->at("revision").get<uint64_t>() },
+           found->at("domains").get<std::vector<std::string>>() };
+}
+
 } // namespace
 
 std::string
@@ -38,11 +50,18 @@
   for (const AgentEntry& entry : aSnapshot.m_agents) {
     agents.push_back(ToJson(entry));
   }
-  return { { "configuration", aSnapshot.m_configuration },
-           { "routes_version", aSnapshot.m_routesVersion },
-           { "agents", std::move(agents) },
-           { "agents_revision", aSnapshot.m_agentsPosition.m_revision },
-           { "agents_era", aSnapshot.m_agentsPosition.m_era } };
+  json snapshot = { { "configuration", aSnapshot.m_configuration },
+                    { "routes_version", aSnapshot.m_routesVersion },
+                    { "agents", std::move(agents) },
+                    { "agents_revision",
+                      aSnapshot.m_agentsPosition.m_revision },
+                    { "agents_era", aSnapshot.m_agentsPosition.m_era } };
+  if (const EvacuationSet& set = aSnapshot.m_evacuations; set.IsKnown()) {
+    snapshot["evacuations"] = { { "era", set.m_position.m_era },
+                                { "revision", set.m_position.m_revision },
+                                { "domains", set.m_domains } };
+  }
+  return snapshot;
 }
 
 Result<PeerSnapshot>
@@ -55,6 +74,7 @@
     snapshot.m_routesVersion = fields.at("routes_version").get<uint64_t>();
     snapshot.m_agentsPosition = { fields.value("agents_era", uint64_t{ 0 }),
                                   fields.at("agents_revision") };
+    snapshot.m_evacuations = DecodeEvacuations(fields);
     for (const json& item : fields.at("agents")) {
       Result<AgentEntry> entry = AgentEntryFromJson(aPeer, item);
       if (!entry) {
--- a/packages/flownode/PeerSync.h
+++ b/packages/flownode/PeerSync.h
@@ -18,6 +18,8 @@
   /** Position of the list; unknown, with an empty list, when the requester's is
    * not older. */
   StorePosition m_agentsPosition;
+  /** Unknown if the sender does not know it. */
+  EvacuationSet m_evacuations;
 };
 
 /** HTTP path at which a balancer serves its snapshot. */
--- a/packages/flownode/StoreFollower.cpp
+++ b/packages/flownode/StoreFollower.cpp
@@ -50,6 +50,17 @@
       },
       [] { return kMaxWatchTimeout; })
 {
+  if (!m_callbacks.m_onEvacuations) {
+    return;
+  }
+  m_evacuations.emplace(
+    m_loop,
+    m_client,
+    kEvacuationKind,
+    [this](const auto& aObjects, const StorePosition& aPosition) {
+      OnEvacuationObjects(aObjects, aPosition);
+    },
+    m_callbacks.m_configWatchTimeout);
 }
 
 void
@@ -59,10 +70,16 @@
     m_loop.Post([this, aEra] {
       m_config.OnStoreRestored(aEra);
       m_agents.OnStoreRestored(aEra);
+      if (m_evacuations) {
+        m_evacuations->OnStoreRestored(aEra);
+      }
     });
   });
   m_config.Start();
   m_agents.Start();
+  if (m_evacuations) {
+    m_evacuations->Start();
+  }
 }
 
 void
@@ -92,12 +109,28 @@
   m_callbacks.m_onAgents(entries, aPosition);
 }
 
+void
+StoreFollower::OnEvacuationObjects(const StoreWatcher::Objects& aObjects,
+                                   const StorePosition& aPosition)
+{
+  EvacuationReading reading = m_evacuationReader.Read(aObjects, aPosition);
+  for (const std::string& name : reading.m_rejected) {
+    Log(LogLevel::Warning,
+        "evacuation-rejected",
+        { { "name", name }, { "detail", "the content is not an object" } });
+  }
+  m_callbacks.m_onEvacuations(reading.m_set);
+}
+
 void
 StoreFollower::AddMetrics(MetricsText& aText) const
 {
   aText.Add("bilberry_store_era", m_client.Era());
   AddWatcherMetrics(aText, kConfigKind, m_config);
   AddWatcherMetrics(aText, kAgentKind, m_agents);
+  if (m_evacuations) {
+    AddWatcherMetrics(aText, kEvacuationKind, *m_evacuations);
+  }
 }
 
 } // namespace bilberryfield
--- a/packages/flownode/StoreFollower.h
+++ b/packages/flownode/StoreFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AgentEntryCodec.h"
+#include "EvacuationReader.h"
 #include "MetricsText.h"
 #include "StoreWatcher.h"
 
@@ -15,15 +16,19 @@
   /** Called with all readable entries of agents after each change. */
   std::function<void(const std::vector<AgentEntry>&, const StorePosition&)>
     m_onAgents;
-  /** Returns the maximum time that the next watch of the configuration waits.
-   */
+  /** Called with the evacuated failure domains after each change. If empty,
+   * these are not watched. */
+  std::function<void(const EvacuationSet&)> m_onEvacuations;
+  /** Returns the maximum time that the next watch of the configuration, or of
+   * the evacuations, waits. */
   StoreWatcher::WatchTimeout m_configWatchTimeout;
 };
 
 /**
  * A balancer's view of the platform's store: watches the operator's
- * configuration and the entries of the agents. A restoration of the store that
- * one call shows counts for both.
+ * configuration, the entries of the agents and, if wanted, the evacuated
+ * failure domains. A restoration of the store that one call shows counts for
+ * all of them.
  */
 class StoreFollower
 {
@@ -55,12 +60,16 @@
   void OnConfigObjects(const StoreWatcher::Objects& aObjects);
   void OnAgentObjects(const StoreWatcher::Objects& aObjects,
                       const StorePosition& aPosition);
+  void OnEvacuationObjects(const StoreWatcher::Objects& aObjects,
+                           const StorePosition& aPosition);
 
   EventLoop& m_loop;
   StoreFollowerCallbacks m_callbacks;
   StoreClient m_client;
   StoreWatcher m_config;
   StoreWatcher m_agents;
+  EvacuationReader m_evacuationReader;
+  std::optional<StoreWatcher> m_evacuations;
 };
 
 } // namespace bilberryfield
--- a/test/FullServer.h
+++ b/test/FullServer.h
@@ -83,6 +83,7 @@
   {
     FlowAgentOptions options;
     options.m_service = "desk";
+    options.m_domain = "a";
     return options;
   }
 
