--- a/test/fuzz/WireFormats.cpp
+++ b/test/fuzz/WireFormats.cpp
@@ -199,8 +199,12 @@
 Test(WireFormats, CorruptFlowMessagesDecodeOrReturnAnError)
 {
   std::vector<std::string> encodedMessages = {
-    EncodeFlowMessage(
-      Subscribe{ {}, { 7, { 1, 2 } }, { { 3, 9 }, { 1, 2 } }, true, 5 }),
+    EncodeFlowMessage(Subscribe{ {},
+                                 { 7, { 1, 2 } },
+                                 { { 3, 9 }, { 1, 2 } },
+                                 true,
+                                 5,
+                                 { { 3, 9 }, { "a" } } }),
     EncodeFlowMessage(AgentReport{}),
     EncodeFlowMessage(ServerLoad{}),
     EncodeFlowMessage(FlowQuery{ { { 1, 2 }, { 3, 4 } }, 5 }),
