--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Evacuations.h"
 #include "NameTable.h"
 #include "Packet.h"
 #include "StorePosition.h"
@@ -110,6 +111,8 @@
   double m_coldRate = 0;
   /** The configuration declares a warm-up time for the service. */
   bool m_hasWarmup = false;
+  /** Evacuated failure domains, as far as the balancer knows. */
+  EvacuationSet m_evacuations;
 
   bool operator==(const Subscribe&) const = default;
 
@@ -123,6 +126,7 @@
     aVisitor("t", aSelf.m_reportedTag);
     aVisitor.Optional("w", aSelf.m_coldRate);
     aVisitor.Optional("y", aSelf.m_hasWarmup);
+    aVisitor.Optional("v", aSelf.m_evacuations);
   }
 };
 
@@ -153,7 +157,8 @@
 };
 
 /** Sent by an agent to a balancer that lacks the agent's details or has an
- * older version of the routes or the agent list. */
+ * older version of the routes or the agent list, or other evacuated failure
+ * domains. */
 struct AgentReport
 {
   std::string m_service;
@@ -167,6 +172,8 @@
   /** Time since the agent saw the first heartbeat of its server's incarnation;
    * 0 if the agent did not see the start. */
   Milliseconds m_sinceServerStart{ 0 };
+  /** Newest set of evacuated failure domains in these subscriptions. */
+  EvacuationSet m_evacuations;
 
   bool operator==(const AgentReport&) const = default;
 
@@ -180,6 +187,7 @@
     aVisitor("r", aSelf.m_routes);
     aVisitor("a", aSelf.m_agents);
     aVisitor.Optional("u", aSelf.m_sinceServerStart);
+    aVisitor.Optional("v", aSelf.m_evacuations);
   }
 };
 
@@ -254,10 +262,11 @@
   NotOwner,     /**< The flow is not at this server. */
   Bounced,      /**< The server bounced the packet. */
   Failing,      /**< The server resets requests without an answer. */
+  Evacuated,    /**< The agent's failure domain is evacuated. */
   Count,
 };
 
-inline constexpr NameTable<ReturnReason, 9> kReturnReasonNames = { {
+inline constexpr NameTable<ReturnReason, 10> kReturnReasonNames = { {
   { ReturnReason::None, "none" },
   { ReturnReason::Full, "full" },
   { ReturnReason::Starting, "starting" },
@@ -267,6 +276,7 @@
   { ReturnReason::NotOwner, "not-owner" },
   { ReturnReason::Bounced, "bounced" },
   { ReturnReason::Failing, "failing" },
+  { ReturnReason::Evacuated, "evacuated" },
 } };
 
 /** SynMark::m_busyLimit without a limit: the agent admits or queues the SYN at
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -139,6 +139,8 @@
       "stale_entry_ms", settings.m_staleEntryAfter, kMinTime);
     settings.m_resetLostFlows =
       fields.OptionalBoolean("reset_lost_flows", settings.m_resetLostFlows);
+    settings.m_evacuations =
+      fields.OptionalBoolean("evacuations", settings.m_evacuations);
   }
   fields.RejectUnknownKeys();
   if (!mistakes.empty()) {
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -62,6 +62,9 @@
   /** Balancer: whether flows whose agent is unreachable are reset when no other
    * agent has them. */
   bool m_resetLostFlows = false;
+  /** Balancer: watches the store's evacuations of failure domains, and places
+   * no flow before it knows them. */
+  bool m_evacuations = false;
   /** Agent: receives the packets that the server sends. */
   Endpoint m_serverListen;
   /** Agent: address at which the server receives packets. */
--- a/test/FullServer.h
+++ b/test/FullServer.h
@@ -84,6 +84,7 @@
   {
     FlowAgentOptions options;
     options.m_service = "desk";
+    options.m_domain = "a";
     return options;
   }
 
