Count an answer whose FIN overtakes it

Cause: the server's FIN reaches the agent before the packets with the answer on most flows that carry one request. Change: a FIN from the server on a flow with a request counts as its answer. Result: ServerRamps::CountAnAnswerWhoseFinArrivesFirst failed before; test_correctness 182 passed.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -334,7 +334,10 @@
     flow->m_serverSeq = aHeader.m_seq;
   }
   AgentDecision decision{ FlowAgentAction::ToCaller };
-  if (aHeader.m_length > 0 && IsBusy(flow->m_phase)) {
+  // The FIN of a flow that carries one request often overtakes the answer.
+  bool isAnswer = aHeader.m_length > 0 ||
+                  (aHeader.Has(kFin) && flow->m_phase == Phase::Requested);
+  if (isAnswer && IsBusy(flow->m_phase)) {
     RecordAnswer(aNow, *flow);
   } else if (aHeader.Has(kReset)) {
     RecordReset(aNow, *flow);
--- a/test/correctness/ServerRamps.cpp
+++ b/test/correctness/ServerRamps.cpp
@@ -192,3 +192,27 @@
   cr_assert_eq(agent.BusyFlows(), 0);
   cr_assert_eq(agent.OnTick(cluster.m_net.Now()).m_load.m_answerUs, 0);
 }
+
+// The server's FIN often overtakes the packets with the answer. Without the
+// answer a ramp would not grow while the server works normally.
+Test(ServerRamps, CountAnAnswerWhoseFinArrivesFirst)
+{
+  FlowAgentOptions options;
+  options.m_service = "desk";
+  FlowAgent agent(options, kStart);
+  agent.OnHeartbeat(kStart, { "s", 1, 1, "desk", {}, kSlots, false, {} });
+  PacketHeader packet = SynPacket();
+  agent.OnBalancerPacket(kStart, packet, {}, 7);
+  packet.m_flags = kAck;
+  packet.m_length = 100;
+  agent.OnBalancerPacket(kStart, packet, {}, 7);
+  std::swap(packet.m_source, packet.m_destination);
+  packet.m_flags = kAck | kFin;
+  packet.m_length = 0;
+  agent.OnServerPacket(kStart + Milliseconds(30), packet);
+  packet.m_flags = kAck;
+  packet.m_length = 1200;
+  agent.OnServerPacket(kStart + Milliseconds(30), packet);
+  cr_assert_eq(agent.AnswerTimes().Buckets().back().m_count, 1);
+  cr_assert_eq(agent.AnswerTimes().Sum(), Milliseconds(30));
+}
