Let requests on open flows wait for more urgent SYN packets

Requests on long-lived flows pass every SYN packet that waits at the agent of a full server, so the callers of urgent new flows wait longest. With the option m_orderRequests (setting order_requests, off by default) such a request waits while the server is full and a more urgent SYN packet waits.

The flow table and its timeouts move from FlowAgent to FlowTable unchanged, so that FlowAgent does not grow. TakeDequeuedSyns returns packets of requests as well and is named TakeDequeuedPackets.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -11,10 +11,6 @@
 constexpr Duration kPauseThreshold = Milliseconds(150);
 /** Time in which a working server answers a SYN. */
 constexpr Duration kSynAnswerTimeout = Milliseconds(60);
-/** Time after which a busy flow no longer counts as load. */
-constexpr Duration kBusyTimeout = Seconds(10);
-/** Time in which a caller answers the server's SYN-ACK. */
-constexpr Duration kConfirmTimeout = Milliseconds(120);
 /** Maximum distance of an acknowledgement from the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
 /** Maximum number of bounced flows per generation. */
@@ -73,7 +69,9 @@
 uint32_t
 FlowAgent::Demand() const
 {
-  return m_busy + static_cast<uint32_t>(m_synQueue.FirstTransmissions());
+  return m_flows.Busy() +
+         static_cast<uint32_t>(m_synQueue.FirstTransmissions() +
+                               m_requestOrder.Waiting());
 }
 
 AgentDecision
@@ -91,12 +89,6 @@
   return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
 }
 
-bool
-FlowAgent::IsBusy(Phase aPhase)
-{
-  return aPhase == Phase::Handshake || aPhase == Phase::Requested;
-}
-
 bool
 FlowAgent::BelongsToOtherServer(const Flow& aFlow, uint32_t aAck)
 {
@@ -126,13 +118,52 @@
   if (BelongsToOtherServer(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
     return ReturnPacket(ReturnReason::NotOwner, aBalancerIp);
   }
+  if (!IsOrdered(aHeader, *flow)) {
+    return DeliverOnFlow(aNow, aHeader, *flow);
+  }
+  RequestStep step =
+    m_requestOrder.OnPacket(aNow,
+                            { aHeader,
+                              aBalancerIp,
+                              flow->m_priority.value_or(0),
+                              { aBytes.begin(), aBytes.end() } },
+                            m_flows.Requested() >= Slots(),
+                            m_synQueue.NextPriority());
+  switch (step) {
+    case RequestStep::Deliver:
+      return DeliverOnFlow(aNow, aHeader, *flow);
+    case RequestStep::Drop:
+      return { FlowAgentAction::Drop };
+    default:
+      AgentDecision decision{ FlowAgentAction::Queue };
+      decision.m_isWaitBegin = step == RequestStep::WaitBegin;
+      return decision;
+  }
+}
+
+// The slot of a flow's first request was assigned with the flow's SYN.
+bool
+FlowAgent::IsOrdered(const PacketHeader& aHeader, const Flow& aFlow) const
+{
+  bool isLaterRequest = aHeader.m_length > 0 && aFlow.m_phase == Phase::Idle &&
+                        aFlow.m_requestedAt != TimePoint{};
+  return m_requestOrder.IsWaiting(aHeader.FlowFromCaller()) ||
+         (m_options.m_orderRequests && aFlow.m_priority && isLaterRequest);
+}
+
+AgentDecision
+FlowAgent::DeliverOnFlow(TimePoint aNow,
+                         const PacketHeader& aHeader,
+                         Flow& aFlow)
+{
   AgentDecision decision{ FlowAgentAction::Deliver };
+  FlowKey key = aHeader.FlowFromCaller();
   if (aHeader.Has(kReset) || aHeader.Has(kFin)) {
-    decision.m_isLast = flow->m_phase != Phase::Closed;
-    SetPhase(aNow, key, *flow, Phase::Closed);
-  } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
-    RecordRequest(aNow, *flow);
-    SetPhase(aNow, key, *flow, Phase::Requested);
+    decision.m_isLast = aFlow.m_phase != Phase::Closed;
+    m_flows.SetPhase(aNow, key, aFlow, Phase::Closed);
+  } else if (aHeader.m_length > 0 && aFlow.m_phase != Phase::Closed) {
+    RecordRequest(aNow, aFlow);
+    m_flows.SetPhase(aNow, key, aFlow, Phase::Requested);
   }
   return decision;
 }
@@ -180,7 +211,7 @@
 bool
 FlowAgent::CanAdmit() const
 {
-  return m_busy < m_flowLimit.MaxFlows(Slots());
+  return m_flows.Busy() < m_flowLimit.MaxFlows(Slots());
 }
 
 void
@@ -188,12 +219,8 @@
 {
   FlowKey key = aSyn.m_header.FlowFromCaller();
   m_bouncedFlows.Erase(key);
-  Flow& flow = m_flows.Insert(key, {});
-  flow.m_busySince = aNow;
-  m_busy += 1;
+  m_flows.Open(aNow, key, aSyn.m_priority);
   m_admittedFlows += 1;
-  m_busyEntries.push_back({ aNow, key });
-  m_unconfirmedFlows.push_back({ aNow, key });
   m_unansweredSyns.push_back(
     { aNow, { key, aSyn.m_balancerIp, aSyn.m_bytes } });
 }
@@ -215,28 +242,58 @@
 {
   m_rejectedSyns += 1;
   bool isLast = aSyn.m_header.RetransmissionCount() >= kMaxRetransmissions;
-  m_dequeuedSyns.push_back(
+  m_dequeued.push_back(
     { { isLast ? FlowAgentAction::Reset : FlowAgentAction::Drop,
         ReturnReason::Full },
-      std::move(aSyn) });
+      std::move(aSyn),
+      {} });
+}
+
+// A request counts as busy once it is delivered, so the next decision has to
+// see those that were released before it.
+void
+FlowAgent::DeliverReleasedRequests(TimePoint aNow)
+{
+  for (ReleasedRequest& request : m_requestOrder.TakeReleased()) {
+    std::optional<RequestWait> wait = request.m_wait;
+    for (QueuedPacket& packet : request.m_packets) {
+      Flow* flow = m_flows.Find(packet.m_header.FlowFromCaller());
+      AgentDecision decision{ FlowAgentAction::Deliver };
+      if (flow) {
+        decision = DeliverOnFlow(aNow, packet.m_header, *flow);
+      }
+      m_dequeued.push_back(
+        { decision, std::move(packet), std::exchange(wait, {}) });
+    }
+  }
 }
 
-std::vector<DequeuedSyn>
-FlowAgent::TakeDequeuedSyns(TimePoint aNow)
+std::vector<DequeuedPacket>
+FlowAgent::TakeDequeuedPackets(TimePoint aNow)
 {
-  if (m_synQueue.Size() > 0 && Condition(aNow) != ServerCondition::Ready) {
+  bool isAnyWaiting = m_synQueue.Size() + m_requestOrder.Waiting() > 0;
+  if (isAnyWaiting && Condition(aNow) != ServerCondition::Ready) {
     for (QueuedSyn& syn : m_synQueue.TakeAll()) {
       AgentDecision decision =
         ReturnPacket(ReturnReason::NotAccepting, syn.m_balancerIp);
-      m_dequeuedSyns.push_back({ decision, std::move(syn) });
+      m_dequeued.push_back({ decision, std::move(syn), {} });
+    }
+    m_requestOrder.ReleaseAll(aNow);
+  }
+  // The next call may come a tick later.
+  m_requestOrder.ReleaseExpired(aNow + kTick);
+  DeliverReleasedRequests(aNow);
+  while (CanAdmit()) {
+    if (m_requestOrder.ReleaseNext(aNow, m_synQueue.NextPriority())) {
+      DeliverReleasedRequests(aNow);
+    } else if (std::optional<QueuedSyn> syn = m_synQueue.TakeNext(aNow)) {
+      Admit(aNow, *syn);
+      m_dequeued.push_back({ { FlowAgentAction::Deliver }, *syn, {} });
+    } else {
+      break;
     }
   }
-  while (m_synQueue.Size() > 0 && CanAdmit()) {
-    QueuedSyn syn = *m_synQueue.TakeNext(aNow);
-    Admit(aNow, syn);
-    m_dequeuedSyns.push_back({ { FlowAgentAction::Deliver }, std::move(syn) });
-  }
-  return std::exchange(m_dequeuedSyns, {});
+  return std::exchange(m_dequeued, {});
 }
 
 // A flow occupies a slot from its request on, so a flow in the handshake counts
@@ -247,8 +304,9 @@
 FlowAgent::HasNoFreeSlot() const
 {
   constexpr uint32_t kRequestWeight = 2;
-  uint32_t handshakes = m_busy - m_requested;
-  return kRequestWeight * m_requested + handshakes >= kRequestWeight * Slots();
+  uint32_t handshakes = m_flows.Busy() - m_flows.Requested();
+  return kRequestWeight * m_flows.Requested() + handshakes >=
+         kRequestWeight * Slots();
 }
 
 AgentDecision
@@ -262,21 +320,22 @@
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server has had the flow since before this agent started.
-    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {} });
+    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {}, {} });
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
     flow->m_serverSeq = aHeader.m_seq;
   }
   AgentDecision decision{ FlowAgentAction::ToCaller };
-  if (aHeader.m_length > 0 && IsBusy(flow->m_phase)) {
+  if (aHeader.m_length > 0 && FlowTable::IsBusy(flow->m_phase)) {
     RecordAnswer(aNow, *flow);
   }
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     decision.m_isLast = flow->m_phase != Phase::Closed;
-    SetPhase(aNow, key, *flow, Phase::Closed);
+    m_flows.SetPhase(aNow, key, *flow, Phase::Closed);
+    m_requestOrder.Flush(aNow, key);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
-    SetPhase(aNow, key, *flow, Phase::Idle);
+    m_flows.SetPhase(aNow, key, *flow, Phase::Idle);
   }
   return decision;
 }
@@ -294,16 +353,7 @@
   for (SynEntry& syn : m_unansweredSyns) {
     syn.m_at += pause;
   }
-  for (BusyEntry& entry : m_busyEntries) {
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_busySince == entry.m_since) {
-      flow->m_busySince += pause;
-    }
-    entry.m_since += pause;
-  }
-  for (BusyEntry& entry : m_unconfirmedFlows) {
-    entry.m_since += pause;
-  }
+  m_flows.OnPause(pause);
 }
 
 void
@@ -347,7 +397,7 @@
   // was open here was therefore lost with an earlier incarnation.
   bool wasOpenHere =
     flow->m_hasServerSeq && !BelongsToOtherServer(*flow, aHeader.m_ack);
-  SetPhase(TimePoint{}, key, *flow, Phase::Closed);
+  m_flows.SetPhase(TimePoint{}, key, *flow, Phase::Closed);
   m_flows.Erase(key);
   if (!aHeader.IsSyn() && wasOpenHere && !aHeader.Has(kReset)) {
     return { FlowAgentAction::Reset };
@@ -355,27 +405,6 @@
   return ReturnPacket(ReturnReason::Bounced, balancerIp);
 }
 
-void
-FlowAgent::SetPhase(TimePoint aNow,
-                    const FlowKey& aKey,
-                    Flow& aFlow,
-                    Phase aPhase)
-{
-  bool wasBusy = IsBusy(aFlow.m_phase);
-  bool isBusy = IsBusy(aPhase);
-  m_requested -= aFlow.m_phase == Phase::Requested ? 1 : 0;
-  m_requested += aPhase == Phase::Requested ? 1 : 0;
-  aFlow.m_phase = aPhase;
-  if (isBusy && !wasBusy) {
-    aFlow.m_busySince = aNow;
-    m_busy += 1;
-    m_busyEntries.push_back({ aNow, aKey });
-  }
-  if (!isBusy && wasBusy) {
-    m_busy -= 1;
-  }
-}
-
 HeartbeatResult
 FlowAgent::OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat)
 {
@@ -421,8 +450,7 @@
 FlowAgent::OnTick(TimePoint aNow)
 {
   AccountForPause(aNow);
-  ExpireBusyFlows(aNow);
-  ExpireUnconfirmedFlows(aNow);
+  m_flows.ExpireBusyFlows(aNow);
   for (QueuedSyn& syn : m_synQueue.TakeExpired(aNow)) {
     RejectQueued(std::move(syn));
   }
@@ -434,38 +462,6 @@
   return m_reports.OnTick(aNow, CurrentLoad(aNow));
 }
 
-// Flows of callers that disappeared would otherwise stay busy.
-void
-FlowAgent::ExpireBusyFlows(TimePoint aNow)
-{
-  while (!m_busyEntries.empty() &&
-         aNow - m_busyEntries.front().m_since > kBusyTimeout) {
-    BusyEntry entry = m_busyEntries.front();
-    m_busyEntries.pop_front();
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_busySince == entry.m_since) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
-    }
-  }
-}
-
-// A caller that left during the handshake never sends a request, so its flow is
-// no load for the server.
-void
-FlowAgent::ExpireUnconfirmedFlows(TimePoint aNow)
-{
-  while (!m_unconfirmedFlows.empty() &&
-         aNow - m_unconfirmedFlows.front().m_since > kConfirmTimeout) {
-    BusyEntry entry = m_unconfirmedFlows.front();
-    m_unconfirmedFlows.pop_front();
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_phase == Phase::Handshake &&
-        flow->m_busySince == entry.m_since) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
-    }
-  }
-}
-
 std::vector<UnansweredSyn>
 FlowAgent::TakeUnansweredSyns(TimePoint aNow)
 {
@@ -479,7 +475,7 @@
     if (!flow || flow->m_phase != Phase::Handshake || flow->m_hasServerSeq) {
       continue;
     }
-    SetPhase(aNow, syn.m_flow, *flow, Phase::Closed);
+    m_flows.SetPhase(aNow, syn.m_flow, *flow, Phase::Closed);
     m_flows.Erase(syn.m_flow);
     m_server.OnSynTimeout();
     unanswered.push_back(syn);
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "FlowLimit.h"
-#include "GenerationMap.h"
+#include "FlowTable.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "ReportSchedule.h"
+#include "RequestOrder.h"
 #include "ServerTracker.h"
 #include "SynQueue.h"
 
@@ -18,7 +19,7 @@
 enum class FlowAgentAction : uint8_t
 {
   Deliver,  /**< Send it to the server, tagged with the balancer's address. */
-  Queue,    /**< Keep the SYN until the server can accept it. */
+  Queue,    /**< Keep the packet until the server can accept it. */
   ToCaller, /**< Send the server's packet to the caller, unchanged. */
   Return,   /**< Return it to the balancer with a reason and the load. */
   Reset,    /**< Send a reset to the caller: the flow is lost or refused. */
@@ -34,13 +35,17 @@
   uint32_t m_balancerIp = 0;
   /** The packet closes its flow. */
   bool m_isLast = false;
+  /** The packet begins the wait of a request on an open flow. */
+  bool m_isWaitBegin = false;
 };
 
-/** A SYN that has left the queue, and the decision on it. */
-struct DequeuedSyn
+/** A packet that has left a queue, and the decision on it. */
+struct DequeuedPacket
 {
   AgentDecision m_decision;
-  QueuedSyn m_syn;
+  QueuedPacket m_packet;
+  /** The wait that ended, in the first packet of a request on an open flow. */
+  std::optional<RequestWait> m_wait;
 };
 
 /** Settings of a FlowAgent. */
@@ -56,6 +61,8 @@
   Duration m_maxFlowAge = Seconds(60);
   /** Maximum number of flows per generation of the flow table. */
   size_t m_maxFlows = 100'000;
+  /** Requests on open flows wait for more urgent SYN packets. */
+  bool m_orderRequests = false;
 };
 
 /** A SYN that the server has not answered. */
@@ -103,11 +110,12 @@
   void BeginShutdown() { m_isStopping = true; }
 
   /**
-   * Returns the SYNs that leave the queue because the server can accept them,
-   * because it accepts no new flows any more, or because they were evicted or
-   * expired. To be called after each packet and each tick.
+   * Returns the SYNs and the packets of requests that leave their queue because
+   * the server can accept them, because it accepts no new flows any more, or
+   * because they were evicted or expired. To be called after each packet and
+   * each tick, once the decision on the packet has been executed.
    */
-  std::vector<DequeuedSyn> TakeDequeuedSyns(TimePoint aNow);
+  std::vector<DequeuedPacket> TakeDequeuedPackets(TimePoint aNow);
 
   /** Handles timeouts and returns the reports that are due; to be called every
    * kTick. */
@@ -142,35 +150,19 @@
   /** Number of flows in the flow table, closed ones included. */
   size_t FlowCount() const { return m_flows.Size(); }
   /** Number of flows whose SYN or request is at the server. */
-  uint32_t BusyFlows() const { return m_busy; }
+  uint32_t BusyFlows() const { return m_flows.Busy(); }
   /** Number of SYNs in the queue. */
   size_t QueuedSynCount() const { return m_synQueue.Size(); }
+  /** Number of requests on open flows that wait. */
+  size_t WaitingRequests() const { return m_requestOrder.Waiting(); }
+  /** Total number of requests on open flows that have waited. */
+  uint64_t HeldRequests() const { return m_requestOrder.HeldCount(); }
 
   static constexpr Duration kTick = Milliseconds(20);
 
 private:
-  enum class Phase : uint8_t
-  {
-    Handshake, // The server has the SYN.
-    Requested, // A request is waiting or running.
-    Idle,      // No request is waiting or running.
-    Closed,    // The caller or the server has closed.
-  };
-
-  struct Flow
-  {
-    Phase m_phase = Phase::Handshake;
-    bool m_hasServerSeq = false;
-    uint32_t m_serverSeq = 0;
-    TimePoint m_busySince;
-    TimePoint m_requestedAt;
-  };
-
-  struct BusyEntry
-  {
-    TimePoint m_since;
-    FlowKey m_flow;
-  };
+  using Phase = FlowPhase;
+  using Flow = AgentFlow;
 
   struct SynEntry
   {
@@ -183,17 +175,23 @@
                       const PacketHeader& aHeader,
                       PacketBytes aBytes,
                       uint32_t aBalancerIp);
+  /** True if the order of requests decides on the packet. */
+  bool IsOrdered(const PacketHeader& aHeader, const Flow& aFlow) const;
+  /** Updates the flow of a packet that is delivered to the server. */
+  AgentDecision DeliverOnFlow(TimePoint aNow,
+                              const PacketHeader& aHeader,
+                              Flow& aFlow);
+  void DeliverReleasedRequests(TimePoint aNow);
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
   AgentDecision OnBounced(const PacketHeader& aHeader);
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
-  static bool IsBusy(Phase aPhase);
   /** True if a new flow would wait for a slot. */
   bool HasNoFreeSlot() const;
   /** True if the server may get one more flow. */
   bool CanAdmit() const;
-  /** Busy flows at the server plus queued first transmissions. */
+  /** Busy flows at the server plus queued first transmissions and requests. */
   uint32_t Demand() const;
   uint32_t Slots() const;
   /** Adds a flow whose SYN goes to the server. */
@@ -204,9 +202,6 @@
   /** True if the acknowledgement number does not match this server's sequence
    * numbers in the flow. */
   static bool BelongsToOtherServer(const Flow& aFlow, uint32_t aAck);
-  void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
-  void ExpireBusyFlows(TimePoint aNow);
-  void ExpireUnconfirmedFlows(TimePoint aNow);
   ServerLoad CurrentLoad(TimePoint aNow) const;
 
   FlowAgentOptions m_options;
@@ -214,28 +209,22 @@
   TimePoint m_start;
   ServerTracker m_server;
   PauseDetector m_pause;
-  GenerationMap<FlowKey, Flow> m_flows;
+  FlowTable m_flows;
   /** Flows that the server bounced, so it does not have them. */
   GenerationMap<FlowKey, bool> m_bouncedFlows;
   TimePoint m_nextGeneration;
-  /** Flows whose SYN or request is at the server. */
-  uint32_t m_busy = 0;
-  /** Flows whose request is at the server; part of m_busy. */
-  uint32_t m_requested = 0;
   double m_answerUs = 0;
   LatencyHistogram m_answerTimes;
   std::array<uint64_t, static_cast<size_t>(ReturnReason::Count)>
     m_returnCounts{};
   uint64_t m_admittedFlows = 0;
   uint64_t m_rejectedSyns = 0;
-  std::deque<BusyEntry> m_busyEntries;
-  /** Admitted flows, until the caller's next packet is due. */
-  std::deque<BusyEntry> m_unconfirmedFlows;
   std::deque<SynEntry> m_unansweredSyns;
   SynQueue m_synQueue;
+  RequestOrder m_requestOrder;
   FlowLimit m_flowLimit;
-  /** Results for the next TakeDequeuedSyns call. */
-  std::vector<DequeuedSyn> m_dequeuedSyns;
+  /** Results for the next TakeDequeuedPackets call. */
+  std::vector<DequeuedPacket> m_dequeued;
   ReportSchedule m_reports;
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
--- /dev/null
+++ b/packages/flow/FlowTable.cpp
@@ -0,0 +1,105 @@
+#include "FlowTable.h"
+
+namespace bilberryfield {
+
+namespace {
+
+/** Time after which a busy flow no longer counts as load. */
+constexpr Duration kBusyTimeout = Seconds(10);
+/** Time in which a caller answers the server's SYN-ACK. */
+constexpr Duration kConfirmTimeout = Milliseconds(120);
+
+} // namespace
+
+FlowTable::FlowTable(size_t aMaxFlows)
+  : m_flows(aMaxFlows)
+{
+}
+
+bool
+FlowTable::IsBusy(FlowPhase aPhase)
+{
+  return aPhase == FlowPhase::Handshake || aPhase == FlowPhase::Requested;
+}
+
+void
+FlowTable::Open(TimePoint aNow, const FlowKey& aKey, uint8_t aPriority)
+{
+  AgentFlow& flow = m_flows.Insert(aKey, {});
+  flow.m_busySince = aNow;
+  flow.m_priority = aPriority;
+  m_busy += 1;
+  m_busyEntries.push_back({ aNow, aKey });
+  m_unconfirmedFlows.push_back({ aNow, aKey });
+}
+
+void
+FlowTable::SetPhase(TimePoint aNow,
+                    const FlowKey& aKey,
+                    AgentFlow& aFlow,
+                    FlowPhase aPhase)
+{
+  bool wasBusy = IsBusy(aFlow.m_phase);
+  bool isBusy = IsBusy(aPhase);
+  m_requested -= aFlow.m_phase == FlowPhase::Requested ? 1 : 0;
+  m_requested += aPhase == FlowPhase::Requested ? 1 : 0;
+  aFlow.m_phase = aPhase;
+  if (isBusy && !wasBusy) {
+    aFlow.m_busySince = aNow;
+    m_busy += 1;
+    m_busyEntries.push_back({ aNow, aKey });
+  }
+  if (!isBusy && wasBusy) {
+    m_busy -= 1;
+  }
+}
+
+void
+FlowTable::OnPause(Duration aPause)
+{
+  for (BusyEntry& entry : m_busyEntries) {
+    AgentFlow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_busySince == entry.m_since) {
+      flow->m_busySince += aPause;
+    }
+    entry.m_since += aPause;
+  }
+  for (BusyEntry& entry : m_unconfirmedFlows) {
+    entry.m_since += aPause;
+  }
+}
+
+// Flows of callers that disappeared would otherwise stay busy.
+void
+FlowTable::ExpireBusyFlows(TimePoint aNow)
+{
+  while (!m_busyEntries.empty() &&
+         aNow - m_busyEntries.front().m_since > kBusyTimeout) {
+    BusyEntry entry = m_busyEntries.front();
+    m_busyEntries.pop_front();
+    AgentFlow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_busySince == entry.m_since) {
+      SetPhase(aNow, entry.m_flow, *flow, FlowPhase::Idle);
+    }
+  }
+  ExpireUnconfirmedFlows(aNow);
+}
+
+// A caller that left during the handshake never sends a request, so its flow is
+// no load for the server.
+void
+FlowTable::ExpireUnconfirmedFlows(TimePoint aNow)
+{
+  while (!m_unconfirmedFlows.empty() &&
+         aNow - m_unconfirmedFlows.front().m_since > kConfirmTimeout) {
+    BusyEntry entry = m_unconfirmedFlows.front();
+    m_unconfirmedFlows.pop_front();
+    AgentFlow* flow = m_flows.Find(entry.m_flow);
+    if (flow && flow->m_phase == FlowPhase::Handshake &&
+        flow->m_busySince == entry.m_since) {
+      SetPhase(aNow, entry.m_flow, *flow, FlowPhase::Idle);
+    }
+  }
+}
+
+} // namespace bilberryfield
--- /dev/null
+++ b/packages/flow/FlowTable.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "GenerationMap.h"
+#include "Packet.h"
+#include "Time.h"
+
+#include <deque>
+#include <optional>
+
+namespace bilberryfield {
+
+/** State of a flow at an agent's server. */
+enum class FlowPhase : uint8_t
+{
+  Handshake, /**< The server has the SYN. */
+  Requested, /**< A request is waiting or running. */
+  Idle,      /**< No request is waiting or running. */
+  Closed,    /**< The caller or the server has closed. */
+};
+
+/** A flow at an agent's server. */
+struct AgentFlow
+{
+  FlowPhase m_phase = FlowPhase::Handshake;
+  bool m_hasServerSeq = false;
+  uint32_t m_serverSeq = 0;
+  TimePoint m_busySince;
+  /** Time of the last request; the epoch before the first one. */
+  TimePoint m_requestedAt;
+  /** Priority of the flow's SYN, if it was seen. */
+  std::optional<uint8_t> m_priority;
+};
+
+/** The flows at an agent's server, with the number of those that are busy. */
+class FlowTable
+{
+public:
+  /** aMaxFlows is the maximum number of flows per generation. */
+  explicit FlowTable(size_t aMaxFlows);
+
+  /** Returns a flow, or nullptr. Valid until the next call. */
+  AgentFlow* Find(const FlowKey& aKey) { return m_flows.Find(aKey); }
+  /** Sets a flow that is not busy. The reference is valid until the next call.
+   */
+  AgentFlow& Insert(const FlowKey& aKey, const AgentFlow& aFlow)
+  {
+    return m_flows.Insert(aKey, aFlow);
+  }
+  /** Adds a flow whose SYN goes to the server. */
+  void Open(TimePoint aNow, const FlowKey& aKey, uint8_t aPriority);
+  /** Erases a flow that is not busy. */
+  void Erase(const FlowKey& aKey) { m_flows.Erase(aKey); }
+  /** Evicts the flows that were not used since the last call. */
+  void StartGeneration() { m_flows.StartGeneration(); }
+
+  void SetPhase(TimePoint aNow,
+                const FlowKey& aKey,
+                AgentFlow& aFlow,
+                FlowPhase aPhase);
+
+  /** Excludes a pause of this process from the timeouts. */
+  void OnPause(Duration aPause);
+  /** Makes flows idle whose caller has disappeared; to be called each tick. */
+  void ExpireBusyFlows(TimePoint aNow);
+
+  /** Number of flows, closed ones included. */
+  size_t Size() const { return m_flows.Size(); }
+  /** Number of flows whose SYN or request is at the server. */
+  uint32_t Busy() const { return m_busy; }
+  /** Number of flows whose request is at the server; part of Busy(). */
+  uint32_t Requested() const { return m_requested; }
+
+  static bool IsBusy(FlowPhase aPhase);
+
+private:
+  struct BusyEntry
+  {
+    TimePoint m_since;
+    FlowKey m_flow;
+  };
+
+  void ExpireUnconfirmedFlows(TimePoint aNow);
+
+  GenerationMap<FlowKey, AgentFlow> m_flows;
+  uint32_t m_busy = 0;
+  uint32_t m_requested = 0;
+  std::deque<BusyEntry> m_busyEntries;
+  /** Opened flows, until the caller's next packet is due. */
+  std::deque<BusyEntry> m_unconfirmedFlows;
+};
+
+} // namespace bilberryfield
--- a/packages/flow/SynQueue.cpp
+++ b/packages/flow/SynQueue.cpp
@@ -93,6 +93,15 @@
   return Take(longest >= kStandingQueueDelay ? group.m_newest : group.m_oldest);
 }
 
+std::optional<uint8_t>
+SynQueue::NextPriority() const
+{
+  if (m_entries.empty()) {
+    return std::nullopt;
+  }
+  return m_entries.begin()->first.m_priority;
+}
+
 std::vector<QueuedSyn>
 SynQueue::TakeExpired(TimePoint aNow)
 {
--- a/packages/flow/SynQueue.h
+++ b/packages/flow/SynQueue.h
@@ -1,26 +1,17 @@
 #pragma once
 
-#include "Packet.h"
+#include "QueuedPacket.h"
 #include "Time.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/inlined_vector.h>
 #include <optional>
 #include <vector>
 
 namespace bilberryfield {
 
 /** A SYN packet that waits at an agent until its server can take a new flow. */
-struct QueuedSyn
-{
-  PacketHeader m_header;
-  uint32_t m_balancerIp = 0;
-  /** Priority of the route; 0 is the most urgent. */
-  uint8_t m_priority = 0;
-  /** The packet as the balancer sent it. */
-  absl::InlinedVector<uint8_t, 40> m_bytes;
-};
+using QueuedSyn = QueuedPacket;
 
 /**
  * SYN packets that wait for a full server. First transmissions are served
@@ -54,6 +45,9 @@
 
   bool Contains(const FlowKey& aFlow) const { return m_ranks.contains(aFlow); }
   size_t Size() const { return m_entries.size(); }
+  /** Priority of the packet that comes first by transmission and priority;
+   * std::nullopt if the queue is empty. */
+  std::optional<uint8_t> NextPriority() const;
   /** Number of first transmissions; only these are served before a new first
    * transmission. */
   size_t FirstTransmissions() const { return m_firstTransmissions; }
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -26,6 +26,7 @@
   options.m_packets = aSettings.m_packetListen;
   options.m_heartbeatEvery = aSettings.m_heartbeatEvery;
   options.m_maxFlowAge = aSettings.m_maxFlowAge;
+  options.m_orderRequests = aSettings.m_orderRequests;
   return options;
 }
 
@@ -181,9 +182,12 @@
   AgentDecision decision =
     m_core.OnBalancerPacket(now, *header, aBytes, aFrom.m_ip);
   LogDecision(decision, *header, aFrom.m_ip);
+  if (decision.m_isWaitBegin) {
+    LogRequestWait(*header, {});
+  }
   AppendToJournal(now, decision, *header, header->FlowFromCaller());
   Execute(decision, *header, aBytes, aFrom.m_ip);
-  ExecuteDequeuedSyns(now);
+  ExecuteDequeuedPackets(now);
 }
 
 // Logs the decision on each SYN, and each packet that is returned to a
@@ -213,6 +217,24 @@
   });
 }
 
+void
+AgentDaemon::LogRequestWait(const PacketHeader& aHeader,
+                            const std::optional<RequestWait>& aEnded)
+{
+  const char* event = aEnded ? "request-wait-ended" : "request-waiting";
+  Log(LogLevel::Info, event, [&] {
+    nlohmann::json fields = { { "flow", ToText(aHeader.FlowFromCaller()) },
+                              { "busy", m_core.BusyFlows() },
+                              { "waiting", m_core.WaitingRequests() },
+                              { "slots", m_core.Load().m_slots } };
+    if (aEnded) {
+      fields["reason"] = NameOf(kRequestWaitEndNames, aEnded->m_end);
+      fields["waited_ms"] = ToMilliseconds(aEnded->m_waited);
+    }
+    return fields;
+  });
+}
+
 HttpOutgoing
 AgentDaemon::Metrics() const
 {
@@ -223,6 +245,7 @@
     [this](ReturnReason aReason) { return m_core.ReturnCount(aReason); });
   text.Add("bilberry_openings_total", m_core.AdmittedFlows());
   text.Add("bilberry_queued_openings_rejected_total", m_core.RejectedSyns());
+  text.Add("bilberry_requests_held_total", m_core.HeldRequests());
   text.Add("bilberry_flows", m_core.FlowCount());
   text.Add("bilberry_busy_flows", m_core.BusyFlows());
   text.Add("bilberry_malformed_packets_total", m_malformedPackets);
@@ -250,21 +273,24 @@
     header->Has(kBounced) ? header->FlowFromCaller() : header->FlowFromServer();
   AppendToJournal(now, decision, *header, flow);
   Execute(decision, *header, aBytes, header->m_tag);
-  ExecuteDequeuedSyns(now);
+  ExecuteDequeuedPackets(now);
 }
 
 void
-AgentDaemon::ExecuteDequeuedSyns(TimePoint aNow)
+AgentDaemon::ExecuteDequeuedPackets(TimePoint aNow)
 {
-  for (DequeuedSyn& dequeued : m_core.TakeDequeuedSyns(aNow)) {
-    const QueuedSyn& syn = dequeued.m_syn;
-    LogDecision(dequeued.m_decision, syn.m_header, syn.m_balancerIp);
-    AppendToJournal(
-      aNow, dequeued.m_decision, syn.m_header, syn.m_header.FlowFromCaller());
+  for (DequeuedPacket& dequeued : m_core.TakeDequeuedPackets(aNow)) {
+    QueuedPacket& packet = dequeued.m_packet;
+    const PacketHeader& header = packet.m_header;
+    LogDecision(dequeued.m_decision, header, packet.m_balancerIp);
+    if (dequeued.m_wait) {
+      LogRequestWait(header, dequeued.m_wait);
+    }
+    AppendToJournal(aNow, dequeued.m_decision, header, header.FlowFromCaller());
     Execute(dequeued.m_decision,
-            syn.m_header,
-            { dequeued.m_syn.m_bytes.data(), dequeued.m_syn.m_bytes.size() },
-            syn.m_balancerIp);
+            header,
+            { packet.m_bytes.data(), packet.m_bytes.size() },
+            packet.m_balancerIp);
   }
 }
 
@@ -364,7 +390,7 @@
     m_loggedCondition = condition;
   }
   DueReports due = m_core.OnTick(now);
-  ExecuteDequeuedSyns(now);
+  ExecuteDequeuedPackets(now);
   m_control.SendToAll(due.m_reportRecipients, due.m_report);
   m_control.SendToAll(due.m_loadRecipients, due.m_load);
   bool isServerPresent =
--- a/packages/flownode/AgentDaemon.h
+++ b/packages/flownode/AgentDaemon.h
@@ -31,8 +31,8 @@
   void OnBalancerDatagram(std::span<uint8_t> aBytes, const Endpoint& aFrom);
   void OnServerDatagram(std::span<uint8_t> aBytes);
   void OnControlMessage(const FlowMessage& aMessage, uint32_t aFromIp);
-  /** Executes the decisions on SYNs that have left the queue. */
-  void ExecuteDequeuedSyns(TimePoint aNow);
+  /** Executes the decisions on packets that have left a queue. */
+  void ExecuteDequeuedPackets(TimePoint aNow);
   void Execute(const AgentDecision& aDecision,
                const PacketHeader& aHeader,
                std::span<uint8_t> aBytes,
@@ -46,6 +46,9 @@
   void LogDecision(const AgentDecision& aDecision,
                    const PacketHeader& aHeader,
                    uint32_t aBalancerIp);
+  /** Logs the begin or the end of a request's wait. */
+  void LogRequestWait(const PacketHeader& aHeader,
+                      const std::optional<RequestWait>& aEnded);
   void OnTick();
   void AppendToJournal(TimePoint aNow,
                        const AgentDecision& aDecision,
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -58,6 +58,8 @@
     "journal_every_ms", aSettings.m_journalEvery, kMinTime);
   aSettings.m_maxFlowAge =
     aFields.OptionalTime("max_flow_ms", aSettings.m_maxFlowAge, kMinTime);
+  aSettings.m_orderRequests =
+    aFields.OptionalBoolean("order_requests", aSettings.m_orderRequests);
 }
 
 } // namespace
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -70,6 +70,8 @@
   Milliseconds m_journalEvery{ 60'000 };
   /** Agent: maximum lifetime of a flow. */
   Milliseconds m_maxFlowAge{ 60'000 };
+  /** Agent: requests on open flows wait for more urgent new flows. */
+  bool m_orderRequests = false;
 };
 
 /** Maximum number of log lines per second and event. */
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -239,7 +239,7 @@
                        FromBytes({ syn.m_bytes.data(), syn.m_bytes.size() }));
     }
     DueReports due = server.m_agent->OnTick(m_now);
-    ApplyDequeuedSyns(server);
+    ApplyDequeuedPackets(server);
     for (uint32_t balancerIp : due.m_reportRecipients) {
       SendDelayed([this, balancerIp, report = due.m_report] {
         AgentsAt(balancerIp).OnReport(m_now, report);
@@ -412,17 +412,18 @@
   AgentDecision decision =
     server.m_agent->OnBalancerPacket(m_now, aHeader, bytes, aBalancerIp);
   ApplyDecision(server, decision, aHeader, aBalancerIp);
-  ApplyDequeuedSyns(server);
+  ApplyDequeuedPackets(server);
 }
 
 void
-FakeFlowNet::ApplyDequeuedSyns(Server& aServer)
+FakeFlowNet::ApplyDequeuedPackets(Server& aServer)
 {
-  for (const DequeuedSyn& dequeued : aServer.m_agent->TakeDequeuedSyns(m_now)) {
+  for (const DequeuedPacket& dequeued :
+       aServer.m_agent->TakeDequeuedPackets(m_now)) {
     ApplyDecision(aServer,
                   dequeued.m_decision,
-                  dequeued.m_syn.m_header,
-                  dequeued.m_syn.m_balancerIp);
+                  dequeued.m_packet.m_header,
+                  dequeued.m_packet.m_balancerIp);
   }
 }
 
@@ -564,7 +565,7 @@
   header.m_length = aLength;
   ApplyDecision(
     aServer, aServer.m_agent->OnServerPacket(m_now, header), header, 0);
-  ApplyDequeuedSyns(aServer);
+  ApplyDequeuedPackets(aServer);
 }
 
 void
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -166,7 +166,7 @@
                      const AgentDecision& aDecision,
                      PacketHeader aHeader,
                      uint32_t aBalancerIp);
-  void ApplyDequeuedSyns(Server& aServer);
+  void ApplyDequeuedPackets(Server& aServer);
   void ReturnToBalancer(Server& aServer,
                         uint32_t aBalancerIp,
                         ReturnReason aReason,
--- a/test/FullServer.h
+++ b/test/FullServer.h
@@ -55,9 +55,9 @@
 
   /** Advances the time while the flows at the server stay active, and returns
    * the waits that end. */
-  std::vector<DequeuedSyn> RunFor(Duration aTime)
+  std::vector<DequeuedPacket> RunFor(Duration aTime)
   {
-    std::vector<DequeuedSyn> all;
+    std::vector<DequeuedPacket> all;
     for (TimePoint end = m_now + aTime; m_now < end;) {
       m_now += FlowAgent::kTick;
       Heartbeat(false);
@@ -65,15 +65,15 @@
         Request(caller);
       }
       m_agent.OnTick(m_now);
-      std::vector<DequeuedSyn> ends = TakeDequeuedSyns();
+      std::vector<DequeuedPacket> ends = TakeDequeuedPackets();
       all.insert(all.end(), ends.begin(), ends.end());
     }
     return all;
   }
 
-  std::vector<DequeuedSyn> TakeDequeuedSyns()
+  std::vector<DequeuedPacket> TakeDequeuedPackets()
   {
-    return m_agent.TakeDequeuedSyns(m_now);
+    return m_agent.TakeDequeuedPackets(m_now);
   }
 
   FlowAgent& Agent() { return m_agent; }
--- a/test/correctness/LastRetransmissions.cpp
+++ b/test/correctness/LastRetransmissions.cpp
@@ -23,10 +23,10 @@
             FlowAgentAction::Queue);
   cr_assert(server.RunFor(Milliseconds(200)).empty());
   server.End(1);
-  std::vector<DequeuedSyn> ends = server.TakeDequeuedSyns();
+  std::vector<DequeuedPacket> ends = server.TakeDequeuedPackets();
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_decision.m_action == FlowAgentAction::Deliver);
-  const auto& bytes = ends[0].m_syn.m_bytes;
+  const auto& bytes = ends[0].m_packet.m_bytes;
   cr_assert(std::vector<uint8_t>(bytes.begin(), bytes.end()) == kBytes);
 }
 
@@ -34,7 +34,7 @@
 {
   FullServer server(1);
   server.Open(kLateCaller, kLastRetransmission);
-  std::vector<DequeuedSyn> ends = server.RunFor(Milliseconds(790));
+  std::vector<DequeuedPacket> ends = server.RunFor(Milliseconds(790));
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_decision.m_action == FlowAgentAction::Reset);
   cr_assert(ends[0].m_decision.m_reason == ReturnReason::Full);
@@ -46,7 +46,7 @@
   server.Open(kLateCaller, kLastRetransmission);
   server.Open(kNewCaller, 0);
   server.End(1);
-  std::vector<DequeuedSyn> ends = server.TakeDequeuedSyns();
+  std::vector<DequeuedPacket> ends = server.TakeDequeuedPackets();
   cr_assert_eq(ends.size(), 1);
-  cr_assert_eq(ends[0].m_syn.m_header.m_source.m_port, kNewCaller);
+  cr_assert_eq(ends[0].m_packet.m_header.m_source.m_port, kNewCaller);
 }
--- a/test/correctness/QueuedSyns.cpp
+++ b/test/correctness/QueuedSyns.cpp
@@ -128,13 +128,13 @@
   FullServer server(kSlots);
   cr_assert_eq(server.Agent().BusyFlows(), kSlots + 1);
   cr_assert(server.Open(kWaitingCaller, 0) == FlowAgentAction::Queue);
-  cr_assert(server.TakeDequeuedSyns().empty());
+  cr_assert(server.TakeDequeuedPackets().empty());
   cr_assert_eq(server.Agent().Load().m_busy, kSlots + 2);
   server.End(1);
-  std::vector<DequeuedSyn> ends = server.TakeDequeuedSyns();
+  std::vector<DequeuedPacket> ends = server.TakeDequeuedPackets();
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_decision.m_action == FlowAgentAction::Deliver);
-  cr_assert_eq(ends[0].m_syn.m_balancerIp, FullServer::kBalancer);
+  cr_assert_eq(ends[0].m_packet.m_balancerIp, FullServer::kBalancer);
   cr_assert_eq(server.Agent().QueuedSynCount(), 0);
 }
 
@@ -150,7 +150,7 @@
   FullServer server(kSlots);
   server.Open(kWaitingCaller, 0);
   server.Heartbeat(true);
-  std::vector<DequeuedSyn> ends = server.TakeDequeuedSyns();
+  std::vector<DequeuedPacket> ends = server.TakeDequeuedPackets();
   cr_assert_eq(ends.size(), 1);
   cr_assert(ends[0].m_decision.m_action == FlowAgentAction::Return);
   cr_assert(ends[0].m_decision.m_reason == ReturnReason::NotAccepting);
@@ -162,7 +162,7 @@
   FullServer server(kSlots);
   server.Open(kWaitingCaller, 0);
   server.Agent().BeginShutdown();
-  cr_assert_eq(server.TakeDequeuedSyns().size(), 1);
+  cr_assert_eq(server.TakeDequeuedPackets().size(), 1);
   cr_assert_eq(server.Agent().QueuedSynCount(), 0);
 }
 
@@ -172,7 +172,7 @@
   FullServer server(kSlots);
   server.Open(kWaitingCaller, 1);
   server.Open(kWaitingCaller + 1, 2);
-  std::vector<DequeuedSyn> ends = server.RunFor(Seconds(1));
+  std::vector<DequeuedPacket> ends = server.RunFor(Seconds(1));
   cr_assert_eq(ends.size(), 2);
   cr_assert(ends[0].m_decision.m_action == FlowAgentAction::Drop);
   cr_assert(ends[1].m_decision.m_action == FlowAgentAction::Reset);
