Admit urgent flows behind less urgent requests on open flows

With requests that wait, but admission as before, urgent callers fared worse at overload than without: a request that has waited for 120 ms has to be delivered, so the server held more flows than FlowLimit allows nearly all the time.

Requests that no more urgent SYN packet precedes are delivered at once.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -127,7 +127,7 @@
                               aBalancerIp,
                               flow->m_priority.value_or(0),
                               { aBytes.begin(), aBytes.end() } },
-                            m_flows.Requested() >= Slots(),
+                            m_flows.HasFullServer(Slots()),
                             m_synQueue.NextPriority());
   switch (step) {
     case RequestStep::Deliver:
@@ -196,22 +196,22 @@
   if (m_synQueue.Contains(key)) {
     return Enqueue(aNow, std::move(syn));
   }
-  if (HasNoFreeSlot() && Demand() >= mark.m_busyLimit) {
+  if (m_flows.HasNoFreeSlot(Slots()) && Demand() >= mark.m_busyLimit) {
     return ReturnPacket(ReturnReason::Full, aBalancerIp);
   }
-  if (!CanAdmit()) {
+  if (!CanAdmit(syn.m_priority)) {
     return Enqueue(aNow, std::move(syn));
   }
   Admit(aNow, syn);
   return { FlowAgentAction::Deliver };
 }
 
-// A server answers in the order of arrival. Flows beyond the limit would delay
-// callers that arrive later and could still be answered in time.
 bool
-FlowAgent::CanAdmit() const
+FlowAgent::CanAdmit(uint8_t aPriority) const
 {
-  return m_flows.Busy() < m_flowLimit.MaxFlows(Slots());
+  uint32_t lessUrgent =
+    m_options.m_orderRequests ? m_flows.LessUrgentRequests(aPriority) : 0;
+  return m_flowLimit.MayAdmit(Slots(), m_flows.Busy(), lessUrgent);
 }
 
 void
@@ -283,30 +283,33 @@
   // The next call may come a tick later.
   m_requestOrder.ReleaseExpired(aNow + kTick);
   DeliverReleasedRequests(aNow);
-  while (CanAdmit()) {
-    if (m_requestOrder.ReleaseNext(aNow, m_synQueue.NextPriority())) {
-      DeliverReleasedRequests(aNow);
-    } else if (std::optional<QueuedSyn> syn = m_synQueue.TakeNext(aNow)) {
-      Admit(aNow, *syn);
-      m_dequeued.push_back({ { FlowAgentAction::Deliver }, *syn, {} });
-    } else {
-      break;
-    }
+  while (ServeNext(aNow)) {
   }
   return std::exchange(m_dequeued, {});
 }
 
-// A flow occupies a slot from its request on, so a flow in the handshake counts
-// half. While balancers are slow, many flows wait for the caller's next packet.
-// Counted in full they would make idle servers look full, and the returned
-// packets would slow the balancers down further.
+// Returns false if the server can take no more, or nothing waits.
 bool
-FlowAgent::HasNoFreeSlot() const
+FlowAgent::ServeNext(TimePoint aNow)
 {
-  constexpr uint32_t kRequestWeight = 2;
-  uint32_t handshakes = m_flows.Busy() - m_flows.Requested();
-  return kRequestWeight * m_flows.Requested() + handshakes >=
-         kRequestWeight * Slots();
+  std::optional<uint8_t> priority = m_synQueue.NextPriority();
+  m_requestOrder.ReleaseUnblocked(aNow, priority);
+  DeliverReleasedRequests(aNow);
+  bool isShareDue = m_requestOrder.IsShareDue();
+  if (priority && CanAdmit(*priority) && !isShareDue) {
+    QueuedSyn syn = *m_synQueue.TakeNext(aNow);
+    Admit(aNow, syn);
+    m_requestOrder.OnSynServed();
+    m_dequeued.push_back({ { FlowAgentAction::Deliver }, std::move(syn), {} });
+    return true;
+  }
+  bool isServed = m_requestOrder.Waiting() > 0 &&
+                  (isShareDue || !m_flows.HasFullServer(Slots()));
+  if (isServed) {
+    m_requestOrder.ReleaseNext(aNow);
+    DeliverReleasedRequests(aNow);
+  }
+  return isServed;
 }
 
 AgentDecision
@@ -320,7 +323,8 @@
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server has had the flow since before this agent started.
-    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {}, {} });
+    flow = &m_flows.Insert(key, {});
+    flow->m_phase = Phase::Idle;
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -187,10 +187,10 @@
   AgentDecision OnBounced(const PacketHeader& aHeader);
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
-  /** True if a new flow would wait for a slot. */
-  bool HasNoFreeSlot() const;
-  /** True if the server may get one more flow. */
-  bool CanAdmit() const;
+  /** True if the server may get one more flow of the priority. */
+  bool CanAdmit(uint8_t aPriority) const;
+  /** Serves the next SYN or request that waits, if the server can take it. */
+  bool ServeNext(TimePoint aNow);
   /** Busy flows at the server plus queued first transmissions and requests. */
   uint32_t Demand() const;
   uint32_t Slots() const;
--- a/packages/flow/FlowLimit.h
+++ b/packages/flow/FlowLimit.h
@@ -26,6 +26,10 @@
    */
   uint32_t MaxFlows(uint32_t aSlots) const;
 
+  /** True if a server with aBusy flows may get one more. aLessUrgent of them
+   * are open flows with a request that is less urgent than the new flow. */
+  bool MayAdmit(uint32_t aSlots, uint32_t aBusy, uint32_t aLessUrgent) const;
+
 private:
   /** Moving averages in microseconds; 0 before the first sample. */
   double m_handshakeUs = 0;
--- a/packages/flow/FlowTable.cpp
+++ b/packages/flow/FlowTable.cpp
@@ -33,6 +33,32 @@
   m_unconfirmedFlows.push_back({ aNow, aKey });
 }
 
+// Only flows with a known priority count, since others are never ordered.
+void
+FlowTable::CountLaterRequest(AgentFlow& aFlow, FlowPhase aPhase)
+{
+  bool hasLaterRequest =
+    aFlow.m_priority && aPhase == FlowPhase::Requested &&
+    (aFlow.m_hasLaterRequest || aFlow.m_phase == FlowPhase::Idle);
+  if (hasLaterRequest == aFlow.m_hasLaterRequest) {
+    return;
+  }
+  aFlow.m_hasLaterRequest = hasLaterRequest;
+  m_laterRequests[*aFlow.m_priority] += hasLaterRequest ? 1 : -1;
+}
+
+uint32_t
+FlowTable::LessUrgentRequests(uint8_t aPriority) const
+{
+  uint32_t requests = 0;
+  for (auto entry = m_laterRequests.upper_bound(aPriority);
+       entry != m_laterRequests.end();
+       ++entry) {
+    requests += entry->second;
+  }
+  return requests;
+}
+
 void
 FlowTable::SetPhase(TimePoint aNow,
                     const FlowKey& aKey,
@@ -41,6 +67,7 @@
 {
   bool wasBusy = IsBusy(aFlow.m_phase);
   bool isBusy = IsBusy(aPhase);
+  CountLaterRequest(aFlow, aPhase);
   m_requested -= aFlow.m_phase == FlowPhase::Requested ? 1 : 0;
   m_requested += aPhase == FlowPhase::Requested ? 1 : 0;
   aFlow.m_phase = aPhase;
@@ -54,6 +81,18 @@
   }
 }
 
+// A flow occupies a slot from its request on, so a flow in the handshake counts
+// half. While balancers are slow, many flows wait for the caller's next packet.
+// Counted in full they would make idle servers look full, and the returned
+// packets would slow the balancers down further.
+bool
+FlowTable::HasNoFreeSlot(uint32_t aSlots) const
+{
+  constexpr uint32_t kRequestWeight = 2;
+  uint32_t handshakes = m_busy - m_requested;
+  return kRequestWeight * m_requested + handshakes >= kRequestWeight * aSlots;
+}
+
 void
 FlowTable::OnPause(Duration aPause)
 {
--- a/packages/flow/FlowTable.h
+++ b/packages/flow/FlowTable.h
@@ -4,6 +4,7 @@
 #include "Packet.h"
 #include "Time.h"
 
+#include <absl/container/btree_map.h>
 #include <deque>
 #include <optional>
 
@@ -27,6 +28,8 @@
   TimePoint m_busySince;
   /** Time of the last request; the epoch before the first one. */
   TimePoint m_requestedAt;
+  /** The request at the server is not the first one of the flow. */
+  bool m_hasLaterRequest = false;
   /** Priority of the flow's SYN, if it was seen. */
   std::optional<uint8_t> m_priority;
 };
@@ -69,6 +72,14 @@
   uint32_t Busy() const { return m_busy; }
   /** Number of flows whose request is at the server; part of Busy(). */
   uint32_t Requested() const { return m_requested; }
+  /** True if a new flow would wait for one of the server's slots. */
+  bool HasNoFreeSlot(uint32_t aSlots) const;
+  /** True if the server has a request for each of its slots. */
+  bool HasFullServer(uint32_t aSlots) const { return m_requested >= aSlots; }
+
+  /** Number of later requests at the server on flows that are less urgent than
+   * the priority. The first request of a flow does not count. */
+  uint32_t LessUrgentRequests(uint8_t aPriority) const;
 
   static bool IsBusy(FlowPhase aPhase);
 
@@ -79,11 +90,14 @@
     FlowKey m_flow;
   };
 
+  void CountLaterRequest(AgentFlow& aFlow, FlowPhase aPhase);
   void ExpireUnconfirmedFlows(TimePoint aNow);
 
   GenerationMap<FlowKey, AgentFlow> m_flows;
   uint32_t m_busy = 0;
   uint32_t m_requested = 0;
+  /** Later requests at the server by the priority of their flow. */
+  absl::btree_map<uint8_t, uint32_t> m_laterRequests;
   std::deque<BusyEntry> m_busyEntries;
   /** Opened flows, until the caller's next packet is due. */
   std::deque<BusyEntry> m_unconfirmedFlows;
--- a/packages/flow/RequestOrder.cpp
+++ b/packages/flow/RequestOrder.cpp
@@ -6,6 +6,14 @@
 
 namespace {
 
+/**
+ * Time after an expired wait in which no further request waits. Waits expire
+ * when callers need more than the server's capacity for longer than a request
+ * may wait. Further waits would then only delay requests that are served in any
+ * case.
+ */
+constexpr Duration kSuspension = Seconds(1);
+
 // A packet that ends its flow is not held back, since the server and the
 // journal need the end of a flow at once.
 bool
@@ -16,22 +24,6 @@
 
 } // namespace
 
-// A request that arrives while others wait stays behind them. Otherwise it
-// would take the slot that the waiting ones are about to get.
-bool
-RequestOrder::MustWait(const QueuedPacket& aPacket,
-                       bool aIsServerFull,
-                       std::optional<uint8_t> aNextSynPriority) const
-{
-  if (!aIsServerFull) {
-    return false;
-  }
-  std::optional<uint8_t> nextRequest = m_queue.NextPriority();
-  bool isBehindSyn = aNextSynPriority && *aNextSynPriority < aPacket.m_priority;
-  bool isBehindRequest = nextRequest && *nextRequest <= aPacket.m_priority;
-  return isBehindSyn || isBehindRequest;
-}
-
 RequestStep
 RequestOrder::OnPacket(TimePoint aNow,
                        QueuedPacket aPacket,
@@ -53,7 +45,9 @@
     m_queue.Add(aNow, std::move(aPacket));
     return RequestStep::Wait;
   }
-  if (!mayWait || !MustWait(aPacket, aIsServerFull, aNextSynPriority)) {
+  bool isBlocked =
+    aIsServerFull && aNextSynPriority && *aNextSynPriority < aPacket.m_priority;
+  if (!mayWait || !isBlocked || aNow < m_suspendedUntil) {
     return RequestStep::Deliver;
   }
   m_heldCount += 1;
@@ -82,6 +76,7 @@
 RequestOrder::ReleaseExpired(TimePoint aNow)
 {
   for (WaitingRequest& request : m_queue.TakeExpired(aNow)) {
+    m_suspendedUntil = aNow + kSuspension;
     Release(aNow, RequestWaitEnd::Expired, std::move(request));
   }
 }
@@ -94,36 +89,39 @@
   }
 }
 
-// Strict priority would make less urgent callers wait for the whole time limit
-// whenever urgent ones alone need the server's capacity.
-bool
-RequestOrder::IsTurnOfRequest(std::optional<uint8_t> aNextSynPriority)
+void
+RequestOrder::ReleaseUnblocked(TimePoint aNow,
+                               std::optional<uint8_t> aNextSynPriority)
 {
-  std::optional<uint8_t> request = m_queue.NextPriority();
-  if (!request || !aNextSynPriority) {
-    return request.has_value();
-  }
-  bool isRequestUrgent = *request <= *aNextSynPriority;
-  if (*request == *aNextSynPriority) {
-    return true;
+  while (std::optional<uint8_t> priority = m_queue.NextPriority()) {
+    if (aNextSynPriority && *aNextSynPriority < *priority) {
+      return;
+    }
+    ReleaseNext(aNow);
   }
-  m_urgentCount += 1;
-  if (m_urgentCount <= SynQueue::kUrgentBurst) {
-    return isRequestUrgent;
+}
+
+void
+RequestOrder::ReleaseNext(TimePoint aNow)
+{
+  if (std::optional<WaitingRequest> request = m_queue.TakeNext()) {
+    m_urgentCount = 0;
+    Release(aNow, RequestWaitEnd::Served, std::move(*request));
   }
-  m_urgentCount = 0;
-  return !isRequestUrgent;
 }
 
+void
+RequestOrder::OnSynServed()
+{
+  m_urgentCount = m_queue.Size() > 0 ? m_urgentCount + 1 : 0;
+}
+
+// Strict priority would make all requests wait for the whole time limit while
+// urgent callers alone need the server's capacity.
 bool
-RequestOrder::ReleaseNext(TimePoint aNow,
-                          std::optional<uint8_t> aNextSynPriority)
+RequestOrder::IsShareDue() const
 {
-  if (!IsTurnOfRequest(aNextSynPriority)) {
-    return false;
-  }
-  Release(aNow, RequestWaitEnd::Served, *m_queue.TakeNext());
-  return true;
+  return m_queue.Size() > 0 && m_urgentCount >= SynQueue::kUrgentBurst;
 }
 
 std::vector<ReleasedRequest>
--- a/packages/flow/RequestOrder.h
+++ b/packages/flow/RequestOrder.h
@@ -9,7 +9,7 @@
 /** Why the wait of a request ended. */
 enum class RequestWaitEnd : uint8_t
 {
-  Served,   /**< The server had a free slot for it. */
+  Served,   /**< The server had room, or no more urgent SYN waited. */
   Expired,  /**< It waited for RequestQueue::kMaxRequestWait. */
   Flushed,  /**< The flow was closed or its caller sent further packets. */
   Released, /**< The server or its agent stops accepting new flows. */
@@ -46,18 +46,18 @@
 };
 
 /**
- * Order of requests on open flows and of SYN packets at a full server. The more
- * urgent go first, and among equals requests on open flows, since these need
- * no handshake. After SynQueue::kUrgentBurst more urgent ones in a row, one
- * less urgent one is served.
+ * Lets requests on open flows wait while more urgent SYN packets wait for a
+ * full server. SYN packets that are not more urgent are served after them.
+ * After SynQueue::kUrgentBurst more urgent SYN packets in a row, one request is
+ * served.
  */
 class RequestOrder
 {
 public:
   /**
    * Decides on a data packet of an idle flow, or any packet of a flow with
-   * waiting packets. It waits if the server is full and a more urgent SYN
-   * packet waits, or an equally urgent request that arrived earlier.
+   * waiting packets. The first packet of a request waits if the server is full
+   * and the next SYN packet in the queue is more urgent.
    */
   RequestStep OnPacket(TimePoint aNow,
                        QueuedPacket aPacket,
@@ -70,9 +70,15 @@
   void ReleaseExpired(TimePoint aNow);
   /** Releases all requests. */
   void ReleaseAll(TimePoint aNow);
-  /** Releases the next request if it is its turn, given the priority of the
-   * next SYN packet; returns false if it is the turn of the SYN packet. */
-  bool ReleaseNext(TimePoint aNow, std::optional<uint8_t> aNextSynPriority);
+  /** Releases the requests that the next SYN packet does not precede. */
+  void ReleaseUnblocked(TimePoint aNow,
+                        std::optional<uint8_t> aNextSynPriority);
+  /** Releases the next request, if any. */
+  void ReleaseNext(TimePoint aNow);
+  /** Counts a SYN packet that was served, for the share of requests. */
+  void OnSynServed();
+  /** True if the next request is to be served before a further SYN packet. */
+  bool IsShareDue() const;
 
   /** Returns the released requests in order, each of them once. */
   std::vector<ReleasedRequest> TakeReleased();
@@ -85,17 +91,15 @@
   uint64_t HeldCount() const { return m_heldCount; }
 
 private:
-  bool MustWait(const QueuedPacket& aPacket,
-                bool aIsServerFull,
-                std::optional<uint8_t> aNextSynPriority) const;
-  bool IsTurnOfRequest(std::optional<uint8_t> aNextSynPriority);
   void Release(TimePoint aNow, RequestWaitEnd aEnd, WaitingRequest aRequest);
 
   RequestQueue m_queue;
   std::vector<ReleasedRequest> m_released;
   uint64_t m_heldCount = 0;
-  /** More urgent ones served in a row while less urgent ones waited. */
+  /** SYN packets served in a row while requests waited. */
   uint32_t m_urgentCount = 0;
+  /** Until then no further request waits. */
+  TimePoint m_suspendedUntil;
 };
 
 } // namespace bilberryfield
