Correct the time of expired waits and drop a needless release

The agent ends a wait that would pass 120 ms before its next look, and passed that later time on: waited_ms was 20 ms too long, and the pause of waiting after an expired wait lasted 20 ms longer. Found by a test that survived without the pause. A drain or stop returns the SYN packets, after which nothing precedes the waiting requests, so the separate release for it is removed.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -271,24 +271,23 @@
 std::vector<DequeuedPacket>
 FlowAgent::TakeDequeuedPackets(TimePoint aNow)
 {
-  bool isAnyWaiting = m_synQueue.Size() + m_requestOrder.Waiting() > 0;
-  if (isAnyWaiting && Condition(aNow) != ServerCondition::Ready) {
+  if (m_synQueue.Size() > 0 && Condition(aNow) != ServerCondition::Ready) {
     for (QueuedSyn& syn : m_synQueue.TakeAll()) {
       AgentDecision decision =
         ReturnPacket(ReturnReason::NotAccepting, syn.m_balancerIp);
       m_dequeued.push_back({ decision, std::move(syn), {} });
     }
-    m_requestOrder.ReleaseAll(aNow);
   }
   // The next call may come a tick later.
-  m_requestOrder.ReleaseExpired(aNow + kTick);
+  m_requestOrder.ReleaseExpired(aNow, aNow + kTick);
   DeliverReleasedRequests(aNow);
   while (ServeNext(aNow)) {
   }
   return std::exchange(m_dequeued, {});
 }
 
-// Returns false if the server can take no more, or nothing waits.
+// Returns false if the server can take no more, or nothing waits. No request
+// waits while the server accepts no new flows, since no SYN does.
 bool
 FlowAgent::ServeNext(TimePoint aNow)
 {
--- a/packages/flow/RequestOrder.cpp
+++ b/packages/flow/RequestOrder.cpp
@@ -73,22 +73,14 @@
 }
 
 void
-RequestOrder::ReleaseExpired(TimePoint aNow)
+RequestOrder::ReleaseExpired(TimePoint aNow, TimePoint aNextCall)
 {
-  for (WaitingRequest& request : m_queue.TakeExpired(aNow)) {
+  for (WaitingRequest& request : m_queue.TakeExpired(aNextCall)) {
     m_suspendedUntil = aNow + kSuspension;
     Release(aNow, RequestWaitEnd::Expired, std::move(request));
   }
 }
 
-void
-RequestOrder::ReleaseAll(TimePoint aNow)
-{
-  while (std::optional<WaitingRequest> request = m_queue.TakeNext()) {
-    Release(aNow, RequestWaitEnd::Released, std::move(*request));
-  }
-}
-
 void
 RequestOrder::ReleaseUnblocked(TimePoint aNow,
                                std::optional<uint8_t> aNextSynPriority)
--- a/packages/flow/RequestOrder.h
+++ b/packages/flow/RequestOrder.h
@@ -9,17 +9,15 @@
 /** Why the wait of a request ended. */
 enum class RequestWaitEnd : uint8_t
 {
-  Served,   /**< The server had room, or no more urgent SYN waited. */
-  Expired,  /**< It waited for RequestQueue::kMaxRequestWait. */
-  Flushed,  /**< The flow was closed or its caller sent further packets. */
-  Released, /**< The server or its agent stops accepting new flows. */
+  Served,  /**< The server had room, or no more urgent SYN waited. */
+  Expired, /**< It waited for RequestQueue::kMaxRequestWait. */
+  Flushed, /**< The flow was closed or its caller sent further packets. */
 };
 
-inline constexpr NameTable<RequestWaitEnd, 4> kRequestWaitEndNames = { {
+inline constexpr NameTable<RequestWaitEnd, 3> kRequestWaitEndNames = { {
   { RequestWaitEnd::Served, "served" },
   { RequestWaitEnd::Expired, "expired" },
   { RequestWaitEnd::Flushed, "flushed" },
-  { RequestWaitEnd::Released, "released" },
 } };
 
 /** The wait of a request that has ended. */
@@ -66,10 +64,8 @@
 
   /** Releases the waiting packets of a flow. */
   void Flush(TimePoint aNow, const FlowKey& aFlow);
-  /** Releases the requests that have waited for the longest time allowed. */
-  void ReleaseExpired(TimePoint aNow);
-  /** Releases all requests. */
-  void ReleaseAll(TimePoint aNow);
+  /** Releases the requests whose longest wait ends before the next call. */
+  void ReleaseExpired(TimePoint aNow, TimePoint aNextCall);
   /** Releases the requests that the next SYN packet does not precede. */
   void ReleaseUnblocked(TimePoint aNow,
                         std::optional<uint8_t> aNextSynPriority);
--- a/test/correctness/RequestWaits.cpp
+++ b/test/correctness/RequestWaits.cpp
@@ -143,13 +143,18 @@
   cr_assert_leq(lost, gained, "%zu lost, %zu gained", lost, gained);
 }
 
+// Callers retransmit after 200 ms. A wait that expired shows an overload that
+// further waits would not end.
 Test(RequestWaits, EndWithinTheBound)
 {
   Desk desk;
+  constexpr Duration kOffTick = Milliseconds(5);
+  desk.m_now += kOffTick;
   cr_assert(desk.Packet(kWaiting, 101, 100) == FlowAgentAction::Queue);
   cr_assert_eq(desk.m_agent.WaitingRequests(), 1);
   cr_assert_eq(desk.m_agent.Load().m_busy, kSlots + 3);
   TimePoint start = desk.m_now;
+  desk.m_now -= kOffTick;
   while (desk.Delivered().empty()) {
     desk.m_now += FlowAgent::kTick;
     desk.Heartbeat(false);
@@ -158,6 +163,9 @@
   cr_assert_leq((desk.m_now - start).count(),
                 RequestQueue::kMaxRequestWait.count());
   cr_assert_geq((desk.m_now - start).count(), Milliseconds(80).count());
+  desk.Answer(kWaiting);
+  cr_assert(desk.Packet(kWaiting, 201, 100) == FlowAgentAction::Deliver);
+  cr_assert_eq(desk.m_agent.QueuedSynCount(), 1);
 }
 
 // A lost, repeated or overtaken packet would corrupt the caller's request.
@@ -213,6 +221,7 @@
   constexpr uint16_t kAtServer = kSlots + 1;
   uint16_t served = 0;
   for (desk.Answer(1); desk.Delivered().empty();) {
+    cr_assert_lt(served, SynQueue::kUrgentBurst);
     desk.Packet(60 + served, 1, 100);
     served += 1;
     desk.Answer(served < kAtServer ? served + 1 : 60 + served - kAtServer);
