--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -13,10 +13,6 @@
 constexpr Duration kPauseThreshold = Milliseconds(150);
 /** Time in which a working server answers a SYN. */
 constexpr Duration kSynAnswerTimeout = Milliseconds(60);
-/** Time after which a busy flow no longer counts as load. */
-constexpr Duration kBusyTimeout = Seconds(10);
-/** Time in which a caller answers the server's SYN-ACK. */
-constexpr Duration kConfirmTimeout = Milliseconds(120);
 /** Maximum distance of an acknowledgement from the server's first byte. */
 constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
 /** Maximum number of bounced flows per generation. */
@@ -34,7 +30,8 @@
   , m_start(aStart)
   , m_server(m_options.m_heartbeatEvery)
   , m_pause(kPauseThreshold)
-  , m_flows(m_options.m_maxFlows)
+  , m_startup(m_options.m_startup, aStart)
+  , m_flows(m_options.m_maxFlows, m_startup)
   , m_bouncedFlows(kMaxBouncedFlows)
   , m_nextGeneration(aStart + m_options.m_maxFlowAge)
   , m_reports({ m_options.m_service,
@@ -46,7 +43,6 @@
                 {},
                 {} },
               aStart)
-  , m_startup(m_options.m_startup, aStart)
 {
 }
 
@@ -83,7 +79,9 @@
 uint32_t
 FlowAgent::Demand() const
 {
-  return m_busy + static_cast<uint32_t>(m_synQueue.FirstTransmissions());
+  return m_flows.Busy() +
+         static_cast<uint32_t>(m_synQueue.FirstTransmissions() +
+                               m_requestOrder.Waiting());
 }
 
 ReportedSlots
@@ -93,7 +91,8 @@
   if (m_circuit.State(aNow) == CircuitState::HalfOpen) {
     return { m_circuit.IsProbing(aNow) ? 1U : 0U, 1 };
   }
-  return m_startup.Report(aNow, m_busy, Demand() - m_busy, Slots(), m_answerUs);
+  uint32_t busy = m_flows.Busy();
+  return m_startup.Report(aNow, busy, Demand() - busy, Slots(), m_answerUs);
 }
 
 AgentDecision
@@ -114,12 +113,6 @@
   return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
 }
 
-bool
-FlowAgent::IsBusy(Phase aPhase)
-{
-  return aPhase == Phase::Handshake || aPhase == Phase::Requested;
-}
-
 bool
 FlowAgent::BelongsToOtherServer(const Flow& aFlow, uint32_t aAck)
 {
@@ -149,13 +142,52 @@
   if (BelongsToOtherServer(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
     return ReturnPacket(ReturnReason::NotOwner, aBalancerIp);
   }
+  if (!IsOrdered(aHeader, *flow)) {
+    return DeliverOnFlow(aNow, aHeader, *flow);
+  }
+  RequestStep step =
+    m_requestOrder.OnPacket(aNow,
+                            { aHeader,
+                              aBalancerIp,
+                              flow->m_priority.value_or(0),
+                              { aBytes.begin(), aBytes.end() } },
+                            m_flows.HasFullServer(Slots()),
+                            m_synQueue.NextPriority());
+  switch (step) {
+    case RequestStep::Deliver:
+      return DeliverOnFlow(aNow, aHeader, *flow);
+    case RequestStep::Drop:
+      return { FlowAgentAction::Drop };
+    default:
+      AgentDecision decision{ FlowAgentAction::Queue };
+      decision.m_isWaitBegin = step == RequestStep::WaitBegin;
+      return decision;
+  }
+}
+
+// The slot of a flow's first request was assigned with the flow's SYN.
+bool
+FlowAgent::IsOrdered(const PacketHeader& aHeader, const Flow& aFlow) const
+{
+  bool isLaterRequest = aHeader.m_length > 0 && aFlow.m_phase == Phase::Idle &&
+                        aFlow.m_requestedAt != TimePoint{};
+  return m_requestOrder.IsWaiting(aHeader.FlowFromCaller()) ||
+         (m_options.m_orderRequests && aFlow.m_priority && isLaterRequest);
+}
+
+AgentDecision
+FlowAgent::DeliverOnFlow(TimePoint aNow,
+                         const PacketHeader& aHeader,
+                         Flow& aFlow)
+{
   AgentDecision decision{ FlowAgentAction::Deliver };
+  FlowKey key = aHeader.FlowFromCaller();
   if (aHeader.Has(kReset) || aHeader.Has(kFin)) {
-    decision.m_isLast = flow->m_phase != Phase::Closed;
-    SetPhase(aNow, key, *flow, Phase::Closed);
-  } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
-    RecordRequest(aNow, *flow);
-    SetPhase(aNow, key, *flow, Phase::Requested);
+    decision.m_isLast = aFlow.m_phase != Phase::Closed;
+    m_flows.SetPhase(aNow, key, aFlow, Phase::Closed);
+  } else if (aHeader.m_length > 0 && aFlow.m_phase != Phase::Closed) {
+    RecordRequest(aNow, aFlow);
+    m_flows.SetPhase(aNow, key, aFlow, Phase::Requested);
   }
   return decision;
 }
@@ -193,7 +225,7 @@
   // The bound of a cold server can allow a flow between two packets, while SYNs
   // still wait; the queue then decides which one is next.
   bool isOvertaking = m_startup.IsColdLimited(aNow) && m_synQueue.Size() > 0;
-  if (isOvertaking || !CanAdmit(aNow)) {
+  if (isOvertaking || !CanAdmit(aNow, syn.m_priority)) {
     return Enqueue(aNow, std::move(syn));
   }
   Admit(aNow, syn);
@@ -226,13 +258,13 @@
   return ReturnReason::NotAccepting;
 }
 
-// A server answers in the order of arrival. Flows beyond the limit would delay
-// callers that arrive later and could still be answered in time.
 bool
-FlowAgent::CanAdmit(TimePoint aNow) const
+FlowAgent::CanAdmit(TimePoint aNow, uint8_t aPriority) const
 {
-  return m_busy < m_flowLimit.MaxFlows(Slots()) && !m_startup.IsPaceReached() &&
-         !m_startup.IsColdLimitReached(aNow);
+  uint32_t lessUrgent =
+    m_options.m_orderRequests ? m_flows.LessUrgentRequests(aPriority) : 0;
+  return m_flowLimit.MayAdmit(Slots(), m_flows.Busy(), lessUrgent) &&
+         !m_startup.IsPaceReached() && !m_startup.IsColdLimitReached(aNow);
 }
 
 void
@@ -240,16 +272,10 @@
 {
   FlowKey key = aSyn.m_header.FlowFromCaller();
   m_bouncedFlows.Erase(key);
-  Flow& flow = m_flows.Insert(key, {});
-  flow.m_busySince = aNow;
-  flow.m_startNumber = m_startup.Number();
-  m_startup.CountFlows(flow.m_startNumber, 1, 0);
+  m_flows.Open(aNow, key, aSyn.m_priority);
   m_startup.OnAdmitted(aNow);
-  m_busy += 1;
   m_admittedFlows += 1;
   m_circuit.OnAdmitted(aNow);
-  m_busyEntries.push_back({ aNow, key });
-  m_unconfirmedFlows.push_back({ aNow, key });
   m_unansweredSyns.push_back(
     { aNow, { key, aSyn.m_balancerIp, aSyn.m_bytes } });
 }
@@ -271,14 +297,34 @@
 {
   m_rejectedSyns += 1;
   bool isLast = aSyn.m_header.RetransmissionCount() >= kMaxRetransmissions;
-  m_dequeuedSyns.push_back(
+  m_dequeued.push_back(
     { { isLast ? FlowAgentAction::Reset : FlowAgentAction::Drop,
         ReturnReason::Full },
-      std::move(aSyn) });
+      std::move(aSyn),
+      {} });
+}
+
+// A request counts as busy once it is delivered, so the next decision has to
+// see those that were released before it.
+void
+FlowAgent::DeliverReleasedRequests(TimePoint aNow)
+{
+  for (ReleasedRequest& request : m_requestOrder.TakeReleased()) {
+    std::optional<RequestWait> wait = request.m_wait;
+    for (QueuedPacket& packet : request.m_packets) {
+      Flow* flow = m_flows.Find(packet.m_header.FlowFromCaller());
+      AgentDecision decision{ FlowAgentAction::Deliver };
+      if (flow) {
+        decision = DeliverOnFlow(aNow, packet.m_header, *flow);
+      }
+      m_dequeued.push_back(
+        { decision, std::move(packet), std::exchange(wait, {}) });
+    }
+  }
 }
 
-std::vector<DequeuedSyn>
-FlowAgent::TakeDequeuedSyns(TimePoint aNow)
+std::vector<DequeuedPacket>
+FlowAgent::TakeDequeuedPackets(TimePoint aNow)
 {
   ReturnReason refusal =
     m_synQueue.Size() > 0 ? RefusalOfNewFlows(aNow) : ReturnReason::None;
@@ -288,30 +334,47 @@
     for (QueuedSyn& syn : m_synQueue.TakeAll()) {
       AgentDecision decision = ReturnPacket(
         isKept ? refusal : ReturnReason::NotAccepting, syn.m_balancerIp);
-      m_dequeuedSyns.push_back({ decision, std::move(syn) });
+      m_dequeued.push_back({ decision, std::move(syn), {} });
     }
   }
-  while (m_synQueue.Size() > 0 && CanAdmit(aNow)) {
+  // The next call may come a tick later.
+  m_requestOrder.ReleaseExpired(aNow, aNow + kTick);
+  DeliverReleasedRequests(aNow);
+  while (ServeNext(aNow)) {
+  }
+  return std::exchange(m_dequeued, {});
+}
+
+// Returns false if the server can take no more, or nothing waits. No request
+// waits while the server accepts no new flows, since no SYN does.
+bool
+FlowAgent::ServeNext(TimePoint aNow)
+{
+  std::optional<uint8_t> priority = m_synQueue.NextPriority();
+  m_requestOrder.ReleaseUnblocked(aNow, priority);
+  DeliverReleasedRequests(aNow);
+  bool isShareDue = m_requestOrder.IsShareDue();
+  if (priority && CanAdmit(aNow, *priority) && !isShareDue) {
     QueuedSyn syn = *m_synQueue.TakeNext(aNow);
     Admit(aNow, syn);
-    m_dequeuedSyns.push_back({ { FlowAgentAction::Deliver }, std::move(syn) });
+    m_requestOrder.OnSynServed();
+    m_dequeued.push_back({ { FlowAgentAction::Deliver }, std::move(syn), {} });
+    return true;
   }
-  return std::exchange(m_dequeuedSyns, {});
+  bool isServed = m_requestOrder.Waiting() > 0 &&
+                  (isShareDue || !m_flows.HasFullServer(Slots()));
+  if (isServed) {
+    m_requestOrder.ReleaseNext(aNow);
+    DeliverReleasedRequests(aNow);
+  }
+  return isServed;
 }
 
-// A flow occupies a slot from its request on, so a flow in the handshake counts
-// half. While balancers are slow, many flows wait for the caller's next packet.
-// Counted in full they would make idle servers look full, and the returned
-// packets would slow the balancers down further.
 bool
 FlowAgent::HasNoFreeSlot(TimePoint aNow) const
 {
-  if (m_startup.IsPaceReached() || m_startup.IsColdLimitReached(aNow)) {
-    return true;
-  }
-  constexpr uint32_t kRequestWeight = 2;
-  uint32_t handshakes = m_busy - m_requested;
-  return kRequestWeight * m_requested + handshakes >= kRequestWeight * Slots();
+  return m_startup.IsPaceReached() || m_startup.IsColdLimitReached(aNow) ||
+         m_flows.HasNoFreeSlot(Slots());
 }
 
 AgentDecision
@@ -327,7 +390,8 @@
   Flow* flow = m_flows.Find(key);
   if (!flow) {
     // The server has had the flow since before this agent started.
-    flow = &m_flows.Insert(key, { Phase::Idle, false, 0, {}, {}, 0 });
+    flow = &m_flows.Insert(key, {});
+    flow->m_phase = Phase::Idle;
   }
   if (aHeader.Has(kSyn)) {
     flow->m_hasServerSeq = true;
@@ -337,7 +401,7 @@
   // The FIN of a flow that carries one request often overtakes the answer.
   bool isAnswer = aHeader.m_length > 0 ||
                   (aHeader.Has(kFin) && flow->m_phase == Phase::Requested);
-  if (isAnswer && IsBusy(flow->m_phase)) {
+  if (isAnswer && FlowTable::IsBusy(flow->m_phase)) {
     RecordAnswer(aNow, *flow);
   } else if (aHeader.Has(kReset)) {
     RecordReset(aNow, *flow);
@@ -347,9 +411,10 @@
   }
   if (aHeader.Has(kFin) || aHeader.Has(kReset)) {
     decision.m_isLast = flow->m_phase != Phase::Closed;
-    SetPhase(aNow, key, *flow, Phase::Closed);
+    m_flows.SetPhase(aNow, key, *flow, Phase::Closed);
+    m_requestOrder.Flush(aNow, key);
   } else if (aHeader.m_length > 0 && flow->m_phase != Phase::Closed) {
-    SetPhase(aNow, key, *flow, Phase::Idle);
+    m_flows.SetPhase(aNow, key, *flow, Phase::Idle);
   }
   return decision;
 }
@@ -369,16 +434,7 @@
   for (SynEntry& syn : m_unansweredSyns) {
     syn.m_at += pause;
   }
-  for (BusyEntry& entry : m_busyEntries) {
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_busySince == entry.m_since) {
-      flow->m_busySince += pause;
-    }
-    entry.m_since += pause;
-  }
-  for (BusyEntry& entry : m_unconfirmedFlows) {
-    entry.m_since += pause;
-  }
+  m_flows.OnPause(pause);
 }
 
 void
@@ -447,7 +503,7 @@
   if (aHeader.IsSyn()) {
     m_startup.OnRefused(aNow, flow->m_busySince);
   }
-  SetPhase(TimePoint{}, key, *flow, Phase::Closed);
+  m_flows.SetPhase(TimePoint{}, key, *flow, Phase::Closed);
   m_flows.Erase(key);
   if (!aHeader.IsSyn() && wasOpenHere && !aHeader.Has(kReset)) {
     return { FlowAgentAction::Reset };
@@ -455,36 +511,6 @@
   return ReturnPacket(ReturnReason::Bounced, balancerIp);
 }
 
-void
-FlowAgent::SetPhase(TimePoint aNow,
-                    const FlowKey& aKey,
-                    Flow& aFlow,
-                    Phase aPhase)
-{
-  bool wasBusy = IsBusy(aFlow.m_phase);
-  bool isBusy = IsBusy(aPhase);
-  bool wasRequested = aFlow.m_phase == Phase::Requested;
-  bool isRequested = aPhase == Phase::Requested;
-  m_requested -= wasRequested ? 1 : 0;
-  m_requested += isRequested ? 1 : 0;
-  m_startup.CountFlows(
-    aFlow.m_startNumber, wasBusy ? -1 : 0, wasRequested ? -1 : 0);
-  if (isBusy && !wasBusy) {
-    aFlow.m_startNumber = m_startup.Number();
-  }
-  m_startup.CountFlows(
-    aFlow.m_startNumber, isBusy ? 1 : 0, isRequested ? 1 : 0);
-  aFlow.m_phase = aPhase;
-  if (isBusy && !wasBusy) {
-    aFlow.m_busySince = aNow;
-    m_busy += 1;
-    m_busyEntries.push_back({ aNow, aKey });
-  }
-  if (!isBusy && wasBusy) {
-    m_busy -= 1;
-  }
-}
-
 HeartbeatResult
 FlowAgent::OnHeartbeat(TimePoint aNow, const ServerHeartbeat& aHeartbeat)
 {
@@ -495,7 +521,7 @@
     m_sawIncarnationStart = true;
     m_circuit.OnNewIncarnation();
     if (m_startup.IsPaceOn()) {
-      ReleaseLostRequests(aNow);
+      m_flows.ReleaseRequests(aNow);
       m_flowLimit = {};
       m_answerUs = 0;
       m_answerCount = 0;
@@ -505,20 +531,6 @@
   return result;
 }
 
-// Their callers may be gone, so that nothing else ends them before
-// kBusyTimeout. Until then a ramp of one flow would see a full server.
-void
-FlowAgent::ReleaseLostRequests(TimePoint aNow)
-{
-  for (const BusyEntry& entry : m_busyEntries) {
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_phase == Phase::Requested &&
-        flow->m_busySince == entry.m_since) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
-    }
-  }
-}
-
 void
 FlowAgent::OnSubscribe(TimePoint aNow,
                        uint32_t aBalancerIp,
@@ -555,8 +567,7 @@
 FlowAgent::OnTick(TimePoint aNow)
 {
   AccountForPause(aNow);
-  ExpireBusyFlows(aNow);
-  ExpireUnconfirmedFlows(aNow);
+  m_flows.ExpireBusyFlows(aNow);
   m_startup.OnTick(aNow, Slots(), m_flowLimit.MaxFlows(Slots()));
   for (QueuedSyn& syn : m_synQueue.TakeExpired(aNow)) {
     RejectQueued(std::move(syn));
@@ -569,38 +580,6 @@
   return m_reports.OnTick(aNow, CurrentLoad(aNow));
 }
 
-// Flows of callers that disappeared would otherwise stay busy.
-void
-FlowAgent::ExpireBusyFlows(TimePoint aNow)
-{
-  while (!m_busyEntries.empty() &&
-         aNow - m_busyEntries.front().m_since > kBusyTimeout) {
-    BusyEntry entry = m_busyEntries.front();
-    m_busyEntries.pop_front();
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_busySince == entry.m_since) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
-    }
-  }
-}
-
-// A caller that left during the handshake never sends a request, so its flow is
-// no load for the server.
-void
-FlowAgent::ExpireUnconfirmedFlows(TimePoint aNow)
-{
-  while (!m_unconfirmedFlows.empty() &&
-         aNow - m_unconfirmedFlows.front().m_since > kConfirmTimeout) {
-    BusyEntry entry = m_unconfirmedFlows.front();
-    m_unconfirmedFlows.pop_front();
-    Flow* flow = m_flows.Find(entry.m_flow);
-    if (flow && flow->m_phase == Phase::Handshake &&
-        flow->m_busySince == entry.m_since) {
-      SetPhase(aNow, entry.m_flow, *flow, Phase::Idle);
-    }
-  }
-}
-
 std::vector<UnansweredSyn>
 FlowAgent::TakeUnansweredSyns(TimePoint aNow)
 {
@@ -619,7 +598,7 @@
     // current one.
     bool isOfCurrentStart =
       !m_startup.IsPaceOn() || flow->m_startNumber == m_startup.Number();
-    SetPhase(aNow, syn.m_flow, *flow, Phase::Closed);
+    m_flows.SetPhase(aNow, syn.m_flow, *flow, Phase::Closed);
     m_flows.Erase(syn.m_flow);
     if (isOfCurrentStart) {
       m_server.OnSynTimeout();
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -2,10 +2,11 @@
 
 #include "CircuitBreaker.h"
 #include "FlowLimit.h"
-#include "GenerationMap.h"
+#include "FlowTable.h"
 #include "LatencyHistogram.h"
 #include "PauseDetector.h"
 #include "ReportSchedule.h"
+#include "RequestOrder.h"
 #include "ServerStartup.h"
 #include "ServerTracker.h"
 #include "SynQueue.h"
@@ -20,7 +21,7 @@
 enum class FlowAgentAction : uint8_t
 {
   Deliver,  /**< Send it to the server, tagged with the balancer's address. */
-  Queue,    /**< Keep the SYN until the server can accept it. */
+  Queue,    /**< Keep the packet until the server can accept it. */
   ToCaller, /**< Send the server's packet to the caller, unchanged. */
   Return,   /**< Return it to the balancer with a reason and the load. */
   Reset,    /**< Send a reset to the caller: the flow is lost or refused. */
@@ -36,13 +37,17 @@
   uint32_t m_balancerIp = 0;
   /** The packet closes its flow. */
   bool m_isLast = false;
+  /** The packet begins the wait of a request on an open flow. */
+  bool m_isWaitBegin = false;
 };
 
-/** A SYN that has left the queue, and the decision on it. */
-struct DequeuedSyn
+/** A packet that has left a queue, and the decision on it. */
+struct DequeuedPacket
 {
   AgentDecision m_decision;
-  QueuedSyn m_syn;
+  QueuedPacket m_packet;
+  /** The wait that ended, in the first packet of a request on an open flow. */
+  std::optional<RequestWait> m_wait;
 };
 
 /** Settings of a FlowAgent. */
@@ -61,6 +66,8 @@
   /** Stops new flows to a server that resets requests without an answer. */
   bool m_ejectsFailingServer = false;
   StartupOptions m_startup;
+  /** Requests on open flows wait for more urgent SYN packets. */
+  bool m_orderRequests = false;
 };
 
 /** A SYN that the server has not answered. */
@@ -112,12 +119,13 @@
   void BeginShutdown() { m_isStopping = true; }
 
   /**
-   * Returns the SYNs that leave the queue because the server can accept them,
-   * because it accepts no new flows any more, because its failure domain is
-   * evacuated, or because they were evicted or expired. To be called after each
-   * packet and each tick.
+   * Returns the SYNs and the packets of requests that leave their queue because
+   * the server can accept them, because it accepts no new flows any more,
+   * because its failure domain is evacuated, or because they were evicted or
+   * expired. To be called after each packet and each tick, once the decision on
+   * the packet has been executed.
    */
-  std::vector<DequeuedSyn> TakeDequeuedSyns(TimePoint aNow);
+  std::vector<DequeuedPacket> TakeDequeuedPackets(TimePoint aNow);
 
   /** Handles timeouts and returns the reports that are due; to be called every
    * kTick. */
@@ -156,39 +164,21 @@
   /** Number of flows in the flow table, closed ones included. */
   size_t FlowCount() const { return m_flows.Size(); }
   /** Number of flows whose SYN or request is at the server. */
-  uint32_t BusyFlows() const { return m_busy; }
+  uint32_t BusyFlows() const { return m_flows.Busy(); }
   /** Number of requests that the server reset without an answer. */
   uint64_t ResetRequests() const { return m_resetRequests; }
   /** Number of SYNs in the queue. */
   size_t QueuedSynCount() const { return m_synQueue.Size(); }
+  /** Number of requests on open flows that wait. */
+  size_t WaitingRequests() const { return m_requestOrder.Waiting(); }
+  /** Total number of requests on open flows that have waited. */
+  uint64_t HeldRequests() const { return m_requestOrder.HeldCount(); }
 
   static constexpr Duration kTick = Milliseconds(20);
 
 private:
-  enum class Phase : uint8_t
-  {
-    Handshake, // The server has the SYN.
-    Requested, // A request is waiting or running.
-    Idle,      // No request is waiting or running.
-    Closed,    // The caller or the server has closed.
-  };
-
-  struct Flow
-  {
-    Phase m_phase = Phase::Handshake;
-    bool m_hasServerSeq = false;
-    uint32_t m_serverSeq = 0;
-    TimePoint m_busySince;
-    TimePoint m_requestedAt;
-    /** ServerStartup::Number() when the flow became busy. */
-    uint32_t m_startNumber = 0;
-  };
-
-  struct BusyEntry
-  {
-    TimePoint m_since;
-    FlowKey m_flow;
-  };
+  using Phase = FlowPhase;
+  using Flow = AgentFlow;
 
   struct SynEntry
   {
@@ -201,22 +191,28 @@
                       const PacketHeader& aHeader,
                       PacketBytes aBytes,
                       uint32_t aBalancerIp);
+  /** True if the order of requests decides on the packet. */
+  bool IsOrdered(const PacketHeader& aHeader, const Flow& aFlow) const;
+  /** Updates the flow of a packet that is delivered to the server. */
+  AgentDecision DeliverOnFlow(TimePoint aNow,
+                              const PacketHeader& aHeader,
+                              Flow& aFlow);
+  void DeliverReleasedRequests(TimePoint aNow);
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
   void RecordReset(TimePoint aNow, const Flow& aFlow);
-  /** Releases the slots of requests that a restarted server has lost. */
-  void ReleaseLostRequests(TimePoint aNow);
   AgentDecision OnBounced(TimePoint aNow, const PacketHeader& aHeader);
   /** Why no new flow may reach the server; None if it may. */
   ReturnReason RefusalOfNewFlows(TimePoint aNow) const;
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
   bool MayHaveUntrackedFlows(TimePoint aNow) const;
-  static bool IsBusy(Phase aPhase);
   /** True if a new flow would wait for a slot. */
   bool HasNoFreeSlot(TimePoint aNow) const;
-  /** True if the server may get one more flow. */
-  bool CanAdmit(TimePoint aNow) const;
-  /** Busy flows at the server plus queued first transmissions. */
+  /** True if the server may get one more flow of the priority. */
+  bool CanAdmit(TimePoint aNow, uint8_t aPriority) const;
+  /** Serves the next SYN or request that waits, if the server can take it. */
+  bool ServeNext(TimePoint aNow);
+  /** Busy flows at the server plus queued first transmissions and requests. */
   uint32_t Demand() const;
   /** Demand and slots as they are reported. */
   ReportedSlots Reported(TimePoint aNow) const;
@@ -229,9 +225,6 @@
   /** True if the acknowledgement number does not match this server's sequence
    * numbers in the flow. */
   static bool BelongsToOtherServer(const Flow& aFlow, uint32_t aAck);
-  void SetPhase(TimePoint aNow, const FlowKey& aKey, Flow& aFlow, Phase aPhase);
-  void ExpireBusyFlows(TimePoint aNow);
-  void ExpireUnconfirmedFlows(TimePoint aNow);
   ServerLoad CurrentLoad(TimePoint aNow) const;
 
   FlowAgentOptions m_options;
@@ -239,14 +232,11 @@
   TimePoint m_start;
   ServerTracker m_server;
   PauseDetector m_pause;
-  GenerationMap<FlowKey, Flow> m_flows;
+  ServerStartup m_startup;
+  FlowTable m_flows;
   /** Flows that the server bounced, so it does not have them. */
   GenerationMap<FlowKey, bool> m_bouncedFlows;
   TimePoint m_nextGeneration;
-  /** Flows whose SYN or request is at the server. */
-  uint32_t m_busy = 0;
-  /** Flows whose request is at the server; part of m_busy. */
-  uint32_t m_requested = 0;
   double m_answerUs = 0;
   /** Answers in m_answerUs, if it was started anew for an incarnation. */
   std::optional<uint32_t> m_answerCount;
@@ -255,18 +245,15 @@
     m_returnCounts{};
   uint64_t m_admittedFlows = 0;
   uint64_t m_rejectedSyns = 0;
-  std::deque<BusyEntry> m_busyEntries;
-  /** Admitted flows, until the caller's next packet is due. */
-  std::deque<BusyEntry> m_unconfirmedFlows;
   std::deque<SynEntry> m_unansweredSyns;
   SynQueue m_synQueue;
+  RequestOrder m_requestOrder;
   FlowLimit m_flowLimit;
   CircuitBreaker m_circuit;
   uint64_t m_resetRequests = 0;
-  /** Results for the next TakeDequeuedSyns call. */
-  std::vector<DequeuedSyn> m_dequeuedSyns;
+  /** Results for the next TakeDequeuedPackets call. */
+  std::vector<DequeuedPacket> m_dequeued;
   ReportSchedule m_reports;
-  ServerStartup m_startup;
   Evacuations m_evacuations;
   bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
--- a/packages/flownode/FlowSettings.cpp
+++ b/packages/flownode/FlowSettings.cpp
@@ -85,6 +85,8 @@
   aSettings.m_ejectsFailingServer = aFields.OptionalBoolean(
     "eject_failing_server", aSettings.m_ejectsFailingServer);
   aSettings.m_startup = ReadStartupOptions(aFields);
+  aSettings.m_orderRequests =
+    aFields.OptionalBoolean("order_requests", aSettings.m_orderRequests);
 }
 
 } // namespace
--- a/packages/flownode/FlowSettings.h
+++ b/packages/flownode/FlowSettings.h
@@ -82,6 +82,8 @@
   bool m_ejectsFailingServer = false;
   /** Agent: admission after a start or recovery of the server. */
   StartupOptions m_startup;
+  /** Agent: requests on open flows wait for more urgent new flows. */
+  bool m_orderRequests = false;
 };
 
 /** Maximum number of log lines per second and event. */
--- a/test/correctness/Evacuations.cpp
+++ b/test/correctness/Evacuations.cpp
@@ -207,7 +207,7 @@
   FullServer server(2);
   cr_assert(server.Open(50, 0) == FlowAgentAction::Queue);
   server.Agent().OnSubscribe(kStart, 7, SubscriptionWith(kEvacuatedA));
-  std::vector<DequeuedSyn> returned = server.TakeDequeuedSyns();
+  std::vector<DequeuedPacket> returned = server.TakeDequeuedPackets();
   cr_assert_eq(returned.size(), 1);
   cr_assert(returned[0].m_decision.m_action == FlowAgentAction::Return);
   cr_assert(returned[0].m_decision.m_reason == ReturnReason::Evacuated);
