--- a/test/process/PacketPath.cpp
+++ b/test/process/PacketPath.cpp
@@ -112,6 +112,8 @@
   loaded.m_cluster.Agent(0).Signal(SIGHUP);
   cr_assert(loaded.m_cluster.Balancer(0).WaitForLine("\"event\":\"reloaded\""));
   cr_assert(loaded.m_cluster.Agent(0).WaitForLine("\"event\":\"reloaded\""));
+  // Flows have to be served after the reload as well.
+  loaded.Wait(Milliseconds(500));
   CheckAllAnswered(loaded.m_callers->Stop());
 }
 
