Take agents that returned without a server and left for unreachable

The agents were started again, reported that they knew no server and ended 1 to 3 s later. Change: for such an agent the last report that named its server counts.

--- a/packages/flow/AgentReachability.cpp
+++ b/packages/flow/AgentReachability.cpp
@@ -151,9 +151,12 @@
   Duration silence = CountedTime(aNow, aNow - aAgent.TimeSinceContact(aNow));
   Duration limit =
     std::max(kUnreachable, kReportTimeoutsMissed * aAgent.m_reportTimeout);
-  return silence >= limit ||
-         (silence >= kUnreachableAfterRestart &&
-          WasRestartGeneral(aNow, aAgent, aAgent.m_lastReport));
+  // After a loss of power the platform starts the agents of servers that had
+  // left again, and then ends them. Their last reports name no server.
+  std::optional<TimePoint> knownAt =
+    aAgent.m_serverUnknownSince ? aAgent.m_serverKnownAt : aAgent.m_lastReport;
+  return silence >= limit || (silence >= kUnreachableAfterRestart &&
+                              WasRestartGeneral(aNow, aAgent, knownAt));
 }
 
 // An agent that restarted cannot deny a flow until it hears its server. A
--- a/test/correctness/AgentReachability.cpp
+++ b/test/correctness/AgentReachability.cpp
@@ -62,6 +62,14 @@
     }
   }
 
+  /** The first agent reports that it knows no server. */
+  void ReportNoServer()
+  {
+    AgentReport report = ReadyReport({ kFirst, 8000 }, DomainOf(kFirst));
+    report.m_load.m_condition = ServerCondition::Unknown;
+    m_agents.OnReport(m_now, report);
+  }
+
   bool IsUnreachable(uint32_t aIp = kFirst)
   {
     return m_reachability.IsUnreachable(m_now, *m_agents.Find(aIp));
@@ -122,6 +130,30 @@
   cr_assert(site.IsUnreachable());
 }
 
+// After a loss of power 22 agents were started without their servers, which had
+// left before, and ended a second later. Callers of flows at these servers
+// waited for 6 s.
+Test(AgentReachability, AnAgentThatReturnedWithoutItsServerAndLeftIsUnreachable)
+{
+  Site site;
+  site.Start(1);
+  site.RunFor(Milliseconds(500), 1);
+  site.ReportNoServer();
+  site.RunFor(Milliseconds(900), 1);
+  cr_assert_not(site.IsUnreachable());
+  site.RunFor(Milliseconds(200), 1);
+  cr_assert(site.IsUnreachable());
+}
+
+// The same agent beside servers that did not restart: its server may be alive.
+Test(AgentReachability, AnAgentThatRestartedAloneAndLeftStaysReachable)
+{
+  RunningSite site;
+  site.ReportNoServer();
+  site.RunFor(Seconds(5), 1);
+  cr_assert_not(site.IsUnreachable());
+}
+
 // Guards against taking a release for a power loss, both one that replaced all
 // other servers before the pause and one that replaces half of them during it.
 Test(AgentReachability, ARollingReleaseIsNoGeneralRestart)
