--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -168,7 +168,9 @@
     settings["server"] = at(kApp);
     settings["service"] = "desk";
     settings["heartbeat_ms"] = 200;
-    if (kHasHardLoadSettings && m_warmup) {
+    settings["eject_failing_server"] = true;
+    settings["order_requests"] = true;
+    if (m_warmup) {
       settings["warmup_overage"] = m_warmup->m_overage;
       settings["warmup_slack"] = m_warmup->m_slack;
     }
@@ -181,7 +183,7 @@
     }
     settings["seeds"] = seeds;
     settings["stale_entry_ms"] = m_staleEntryAfter.count();
-    if (kHasHardLoadSettings && m_hasEvacuations) {
+    if (m_hasEvacuations) {
       settings["evacuations"] = true;
     }
     settings["reset_lost_flows"] = true;
--- a/standins/FlowCluster.h
+++ b/standins/FlowCluster.h
@@ -10,10 +10,6 @@
 
 namespace bilberryfield {
 
-/** Whether bilberryd has the settings `evacuations`, `warmup_overage` and
- * `warmup_slack`. A settings file with an unknown key is rejected. */
-inline constexpr bool kHasHardLoadSettings = true;
-
 /** What a deployment declares of the start of its servers. */
 struct WarmupRule
 {
--- a/test/process/FaultSoak.cpp
+++ b/test/process/FaultSoak.cpp
@@ -46,6 +46,12 @@
   cr_assert_eq(EndOfSeed(70411), 0);
 }
 
+// Failed without the watch of evacuations and the bound for cold servers.
+Test(FaultSoak, Seed100WithEvacuations)
+{
+  cr_assert_eq(EndOfSeed(100, { "--restorations", "--evacuations" }), 0);
+}
+
 // Restorations of the store overlap with pauses, lost links and restarts.
 Test(FaultSoak, Seed25WithRestorations)
 {
