Do not take an earlier restart of the servers for the loss of a flow

The balancer took the start of the servers for a general restart and reset a flow that was opened after it. Change: a balancer that has not heard an agent counts only starts from 2 s before it listed the agent.

--- a/packages/flow/AgentReachability.cpp
+++ b/packages/flow/AgentReachability.cpp
@@ -19,6 +19,8 @@
 /** Minimum number of restarted servers in a general restart. The restart of a
  * single server says nothing about the others. */
 constexpr size_t kMinRestarted = 2;
+/** Time within which the VMs of a general restart start. */
+constexpr Duration kRestartSpread = Seconds(2);
 
 bool
 IsAtLeastHalf(size_t aCount, size_t aTotal)
@@ -127,7 +129,10 @@
     return false;
   }
   TimePoint windowStart = aNow - kRestartWindow;
-  TimePoint after = std::max(windowStart, aKnownAt.value_or(windowStart));
+  // A balancer that starts later than the servers cannot know whether a flow
+  // was opened after their restart.
+  TimePoint earliest = aKnownAt.value_or(aAgent.m_addedAt - kRestartSpread);
+  TimePoint after = std::max(windowStart, earliest);
   const ServiceState& service = StateOf(aNow, aAgent.m_entry.m_service);
   size_t started = service.m_all.StartsAfter(after);
   if (started < kMinRestarted ||
--- a/test/correctness/AgentReachability.cpp
+++ b/test/correctness/AgentReachability.cpp
@@ -154,6 +154,20 @@
   cr_assert_not(site.IsUnreachable());
 }
 
+// A balancer restarts some seconds after a general restart, while an agent is
+// down whose server is alive. A flow that was opened after the restart was
+// reset (fault soak, seed 26).
+Test(AgentReachability, ABalancerThatStartsLaterCannotTellARestart)
+{
+  Site site;
+  site.Start(1);
+  site.m_now += Seconds(3);
+  site.m_agents = AgentList{ "a" };
+  site.List(kAgents);
+  site.RunFor(Milliseconds(1500), 1);
+  cr_assert_not(site.IsUnreachable());
+}
+
 // Guards against taking a release for a power loss, both one that replaced all
 // other servers before the pause and one that replaces half of them during it.
 Test(AgentReachability, ARollingReleaseIsNoGeneralRestart)
