--- a/test/error/DuplicateAnswers.cpp
+++ b/test/error/DuplicateAnswers.cpp
@@ -41,6 +41,9 @@
     return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
   }
 
+  /** Number of duplicates that were sent. */
+  int DuplicatesSent() const { return m_duplicatesSent; }
+
 private:
   void Serve()
   {
@@ -53,7 +56,7 @@
     }
   }
 
-  void Answer(tcp::socket& aSocket) const
+  void Answer(tcp::socket& aSocket)
   {
     asio::streambuf buffer;
     boost::system::error_code error;
@@ -69,6 +72,7 @@
       asio::write(aSocket, asio::buffer(answer), error);
       std::this_thread::sleep_for(m_duplicateDelay);
       asio::write(aSocket, asio::buffer(answer), error);
+      m_duplicatesSent += 1;
     }
   }
 
@@ -76,6 +80,7 @@
   tcp::acceptor m_acceptor;
   std::chrono::milliseconds m_duplicateDelay;
   std::atomic<bool> m_isEnding{ false };
+  std::atomic<int> m_duplicatesSent{ 0 };
   std::vector<std::thread> m_sessions;
   std::thread m_thread;
 };
@@ -94,7 +99,12 @@
     HttpResult result = client.SendAndWait(call);
     cr_assert(result.m_end == HttpEnd::Answered);
     cr_assert(result.m_body == call.m_path, "%s", result.m_body.c_str());
-    std::this_thread::sleep_for(Milliseconds(60));
+    // The duplicate has to arrive before the next call: on a busy machine it
+    // was sent only during that call, whose answer it then seemed to be.
+    while (server.DuplicatesSent() <= i) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+    std::this_thread::sleep_for(Milliseconds(30));
   }
 }
 
