--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -89,7 +89,8 @@
   options.groups = { { "circulation", 3 },
                      { "circulation-next", 2 },
                      { "jackets", 1 } };
-  return RunCase(options, { "circulation", "jackets" }, arguments[1], [](Deployment& deployment) {
-    return Play(deployment);
-  });
+  return RunCase(options,
+                 { "circulation", "jackets" },
+                 arguments[1],
+                 [](Deployment& deployment) { return Play(deployment); });
 }
--- a/review/standins/Callers.h
+++ b/review/standins/Callers.h
@@ -77,12 +77,10 @@
   {
     while (!m_isStopping) {
       auto start = Clock::now();
-      bool isReady = HttpCall(m_targets[index].readiness,
-                              "GET",
-                              "/bilberryfield/readyz",
-                              "",
-                              450)
-                       .status == 200;
+      bool isReady =
+        HttpCall(
+          m_targets[index].readiness, "GET", "/bilberryfield/readyz", "", 450)
+          .status == 200;
       bool wasIn = m_misses[index] < kMisses;
       m_misses[index] = isReady ? 0 : std::min(kMisses, m_misses[index] + 1);
       bool isIn = m_misses[index] < kMisses;
@@ -107,6 +105,7 @@
 enum class FlowEnd
 {
   None,
+  Closed,      // by the client, after its answers
   NotOpened,   // no answer to the SYN, or a reset before the flow was open
   SystemReset, // a reset that no server sent
   Silent,      // a request got no answer within its deadline
@@ -157,7 +156,10 @@
   };
   using OnAnswer = std::function<void(Flow&)>;
 
-  Caller(Loop& loop, Record& record, const Router& router, CallerOptions options)
+  Caller(Loop& loop,
+         Record& record,
+         const Router& router,
+         CallerOptions options)
     : m_loop(loop)
     , m_record(record)
     , m_router(router)
@@ -195,6 +197,20 @@
     SendMore(flow);
   }
 
+  // Ends a flow after its answer.
+  void Close(const FlowKey& key)
+  {
+    Flow& flow = m_flows.at(key);
+    Packet fin;
+    fin.flags = kFin | kAck;
+    fin.seq = flow.next;
+    fin.ack = flow.expected;
+    Send(flow, fin);
+    flow.isOpen = false;
+    flow.end = FlowEnd::Closed;
+    flow.endedAt = Clock::now();
+  }
+
 private:
   void Prepare(Flow& flow, size_t bytes, OnAnswer onAnswer)
   {
@@ -206,14 +222,13 @@
     flow.out += "GET /bytes/" + std::to_string(bytes) +
                 " HTTP/1.1\r\nX-Request-Id: " + flow.id + "\r\n\r\n";
     m_record.Add("client sends " + flow.id + " on " + Text(flow.key));
-    m_loop.After(milliseconds(m_options.deadlineMs),
-                 [this, key = flow.key, id = flow.id] {
-                   Flow& flow = m_flows.at(key);
-                   if (flow.isWaiting && flow.id == id &&
-                       flow.end == FlowEnd::None) {
-                     End(flow, FlowEnd::Silent, "no answer to " + id);
-                   }
-                 });
+    m_loop.After(
+      milliseconds(m_options.deadlineMs), [this, key = flow.key, id = flow.id] {
+        Flow& flow = m_flows.at(key);
+        if (flow.isWaiting && flow.id == id && flow.end == FlowEnd::None) {
+          End(flow, FlowEnd::Silent, "no answer to " + id);
+        }
+      });
   }
 
   void Send(const Flow& flow, Packet packet)
@@ -363,8 +378,7 @@
       return false;
     }
     size_t at = flow.received.find("Content-Length: ") + 16;
-    size_t whole =
-      end + 4 + strtoul(flow.received.c_str() + at, nullptr, 10);
+    size_t whole = end + 4 + strtoul(flow.received.c_str() + at, nullptr, 10);
     if (flow.received.size() < whole) {
       return false;
     }
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -231,8 +231,8 @@
                                       { "max-body-bytes", 262144 },
                                       { "header-timeout-ms", 3000 },
                                       { "idle-timeout-ms", 15000 } } } });
-    std::string text = "operator: version " + std::to_string(m_version) +
-                       " acknowledged:";
+    std::string text =
+      "operator: version " + std::to_string(m_version) + " acknowledged:";
     for (size_t i = 0; i < services.size(); ++i) {
       text += " route " + Text(Route(int(i))) + " -> " + services[i];
     }
@@ -269,7 +269,7 @@
     return true;
   }
 
-  void StartServer(int index)
+  void StartServer(int index, int clockAheadMs = 0)
   {
     uint32_t ip = AgentIp(index);
     ServerOptions server;
@@ -282,11 +282,24 @@
     server.slots = m_options.slots;
     server.workMs = m_options.workMs;
     server.heartbeatMs = kHeartbeatMs;
+    server.clockAheadMs = clockAheadMs;
     m_servers.resize(m_agents.size());
     m_servers[index] = std::make_unique<FlowServer>(m_loop, m_record, server);
   }
 
-  // Stops a balancer and starts it again, as in roll_term.
+  // The server's process ends without a word.
+  void CrashServer(int index)
+  {
+    FlowServer& server = *m_servers[index];
+    m_loop.Call([&] {
+      server.Crash();
+      return true;
+    });
+    server.StopHeartbeats();
+    m_crashed.push_back(std::move(m_servers[index]));
+  }
+
+  // Stops a process and starts it again, as in roll_term.
   void Roll(Daemon& daemon, int downMs)
   {
     m_record.Add("platform: SIGTERM to " + daemon.Name());
@@ -300,7 +313,7 @@
   bool HasOpen(const FlowKey& key) const
   {
     for (const auto& server : m_servers) {
-      if (server->HasOpen(key)) {
+      if (server && server->HasOpen(key)) {
         return true;
       }
     }
@@ -438,6 +451,7 @@
   std::unique_ptr<Router> m_router;
   Loop m_loop;
   std::vector<std::unique_ptr<FlowServer>> m_servers;
+  std::vector<std::unique_ptr<FlowServer>> m_crashed;
   std::vector<std::unique_ptr<Caller>> m_callers;
 };
 
@@ -450,7 +464,9 @@
 {
   constexpr int kMostSeconds = 115;
   signal(SIGPIPE, SIG_IGN);
-  alarm(kMostSeconds); // ends this process and, with it, all that it started
+  // Ends this process and, with it, all that it started.
+  signal(SIGALRM, [](int) { _exit(kNotRun); });
+  alarm(kMostSeconds);
   int code = kNotRun;
   try {
     Deployment deployment(options);
--- a/review/standins/FlowServer.h
+++ b/review/standins/FlowServer.h
@@ -29,6 +29,8 @@
   int slots = 4;
   int workMs = 26;
   int heartbeatMs = 770;
+  // By how much the clock of the server's machine is ahead at its start.
+  int clockAheadMs = 0;
 };
 
 // All packets are handled on the loop's thread.
@@ -39,16 +41,62 @@
     : m_loop(loop)
     , m_record(record)
     , m_options(std::move(options))
-    , m_born(UnixMs())
+    , m_born(UnixMs() + uint64_t(m_options.clockAheadMs))
   {
     m_fd = m_loop.Open(m_options.app, [this](const Packet& p) { On(p); });
     m_heart = std::thread([this] { Beat(); });
   }
 
-  ~FlowServer()
+  ~FlowServer() { StopHeartbeats(); }
+
+  // Ends the server at once: its flows are gone and its address is free. On
+  // the loop's thread.
+  void Crash()
+  {
+    m_record.Add("server " + m_options.id + " crashes");
+    m_isCrashed = true;
+    m_flows.clear();
+    m_waiting.clear();
+    m_loop.Close(m_fd);
+    m_isStopping = true;
+  }
+
+  // Says with the next heartbeat, which follows at once, that it is draining.
+  void Drain() { m_isDraining = true; }
+
+  // Time of the first acknowledgement that it is draining.
+  std::optional<TimePoint> DrainingAcknowledgedAt() const
+  {
+    std::lock_guard lock(m_mutex);
+    return m_drainingAcknowledgedAt;
+  }
+
+  // Times at which the first packet of a flow arrived. On the loop's thread.
+  const std::vector<TimePoint>& Arrivals() const { return m_arrivals; }
+
+  void StopHeartbeats()
   {
     m_isStopping = true;
-    m_heart.join();
+    if (m_heart.joinable()) {
+      m_heart.join();
+    }
+  }
+
+  std::string HeartbeatPath() const
+  {
+    return "/bilberryfield/instances/" + m_options.id;
+  }
+
+  // The next heartbeat.
+  std::string NextHeartbeat()
+  {
+    return "{\"service\":\"" + m_options.service + "\",\"address\":\"" +
+           Text(m_options.app) + "\",\"zone\":\"" + m_options.zone +
+           "\",\"version\":\"v1\",\"slots\":" +
+           std::to_string(m_options.slots) + ",\"state\":\"" +
+           (m_isDraining ? "draining" : "ready") +
+           "\",\"warmup-left-ms\":0,\"seq\":" + std::to_string(++m_seq) +
+           ",\"born\":" + std::to_string(m_born) + "}";
   }
 
   const ServerOptions& Options() const { return m_options; }
@@ -59,7 +107,7 @@
   {
     auto found = m_flows.find(key);
     return found != m_flows.end() && found->second.isOpen &&
-           !found->second.hasGivenUp;
+           !found->second.hasGivenUp && !found->second.hasEnded;
   }
 
   // Packets of flows that the server does not hold. On the loop's thread.
@@ -77,6 +125,7 @@
     uint32_t expected = 0; // next byte of the client
     bool isOpen = false;
     bool hasGivenUp = false;
+    bool hasEnded = false;
     std::string received;
     std::string out; // from unacked on
     uint64_t timer = 0;
@@ -95,36 +144,45 @@
 
   void Beat()
   {
-    uint64_t seq = 0;
     auto next = Clock::now();
+    bool wasDraining = false;
     while (!m_isStopping) {
-      if (Clock::now() < next) {
+      bool isNews = m_isDraining && !wasDraining;
+      if (Clock::now() < next && !isNews) {
         Sleep(5);
         continue;
       }
-      next += milliseconds(m_options.heartbeatMs);
-      std::string body =
-        "{\"service\":\"" + m_options.service + "\",\"address\":\"" +
-        Text(m_options.app) + "\",\"zone\":\"" + m_options.zone +
-        "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_options.slots) +
-        ",\"state\":\"ready\",\"warmup-left-ms\":0,\"seq\":" +
-        std::to_string(++seq) + ",\"born\":" + std::to_string(m_born) + "}";
+      wasDraining = m_isDraining;
+      next = Clock::now() + milliseconds(m_options.heartbeatMs);
       HttpMessage answer =
-        HttpCall(m_options.admin,
-                 "PUT",
-                 "/bilberryfield/instances/" + m_options.id,
-                 body);
+        HttpCall(m_options.admin, "PUT", HeartbeatPath(), NextHeartbeat());
+      if (wasDraining && answer.status == 200) {
+        Acknowledge();
+      }
       if (answer.status != m_lastStatus) {
         m_record.Add("server " + m_options.id + " heartbeat " +
-                     std::to_string(seq) + " -> " +
+                     std::to_string(m_seq) + " -> " +
                      std::to_string(answer.status));
         m_lastStatus = answer.status;
       }
     }
   }
 
+  void Acknowledge()
+  {
+    std::lock_guard lock(m_mutex);
+    if (!m_drainingAcknowledgedAt) {
+      m_drainingAcknowledgedAt = Clock::now();
+      m_record.Add("server " + m_options.id +
+                   ": that it is draining was acknowledged with 200");
+    }
+  }
+
   void Send(Packet packet)
   {
+    if (m_isCrashed) {
+      return;
+    }
     packet.sum = Sum(packet);
     Loop::Send(m_fd, packet, m_options.outbound);
   }
@@ -166,8 +224,8 @@
   // True if the acknowledgement fits what this server sent on the flow.
   static bool Acknowledges(const Flow& flow, uint32_t ack)
   {
-    return !flow.hasGivenUp && ack - flow.firstSeq - 1 <=
-                                 flow.highest - flow.firstSeq - 1;
+    return !flow.hasGivenUp &&
+           ack - flow.firstSeq - 1 <= flow.highest - flow.firstSeq - 1;
   }
 
   void OnSyn(const FlowKey& key, const Packet& packet)
@@ -175,6 +233,8 @@
     auto [place, isNew] = m_flows.try_emplace(key);
     Flow& flow = place->second;
     if (isNew) {
+      m_arrivals.push_back(Clock::now());
+      m_record.Add("server " + m_options.id + " gets the SYN of " + Text(key));
       flow.firstSeq = m_random();
       flow.next = flow.firstSeq + 1;
       flow.highest = flow.next;
@@ -210,6 +270,9 @@
       flow.timer += 1;
       SendMore(key, flow);
     }
+    if (packet.Has(kFin)) {
+      return OnFin(key, flow, packet);
+    }
     if (packet.data.empty()) {
       return;
     }
@@ -221,6 +284,14 @@
     Send(Blank(key, flow, kAck));
   }
 
+  // Both ends close together.
+  void OnFin(const FlowKey& key, Flow& flow, const Packet& packet)
+  {
+    flow.expected = packet.seq + 1;
+    Send(Blank(key, flow, flow.hasEnded ? kAck : kFin | kAck));
+    flow.hasEnded = true;
+  }
+
   // "GET /bytes/N" asks for a body of N bytes.
   void ReadRequests(const FlowKey& key, Flow& flow)
   {
@@ -229,11 +300,11 @@
       std::string head = flow.received.substr(0, end + 2);
       flow.received.erase(0, end + 4);
       size_t id = head.find("X-Request-Id: ") + 14;
-      Request request{ key,
-                       head.substr(id, head.find("\r\n", id) - id),
-                       strtoul(head.c_str() + head.find("/bytes/") + 7,
-                               nullptr,
-                               10) };
+      Request request{
+        key,
+        head.substr(id, head.find("\r\n", id) - id),
+        strtoul(head.c_str() + head.find("/bytes/") + 7, nullptr, 10)
+      };
       m_waiting.push_back(request);
     }
     RunWaiting();
@@ -312,6 +383,12 @@
   ServerOptions m_options;
   uint64_t m_born;
   std::atomic<bool> m_isStopping{ false };
+  std::atomic<bool> m_isDraining{ false };
+  std::atomic<uint64_t> m_seq{ 0 };
+  mutable std::mutex m_mutex;
+  std::optional<TimePoint> m_drainingAcknowledgedAt;
+  std::vector<TimePoint> m_arrivals;
+  bool m_isCrashed = false;
   int m_lastStatus = -1;
   int m_fd = -1;
   std::map<FlowKey, Flow> m_flows;
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -85,9 +85,10 @@
   sockaddr_in address = Address(to);
   if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) ==
       0) {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + Text(to) +
-                       "\r\nContent-Type: application/json\r\nContent-Length: " +
-                       std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string text =
+      method + " " + path + " HTTP/1.1\r\nHost: " + Text(to) +
+      "\r\nContent-Type: application/json\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
     std::string buffer;
     std::string head;
     if (detail::SendAll(fd, text) &&
--- a/review/standins/Loop.h
+++ b/review/standins/Loop.h
@@ -119,7 +119,9 @@
     if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
       throw std::runtime_error("cannot bind " + Text(endpoint));
     }
-    Post([this, fd, onPacket] { m_sockets.push_back({ fd, onPacket, false }); });
+    Post([this, fd, onPacket] {
+      m_sockets.push_back({ fd, onPacket, false });
+    });
     return fd;
   }
 
