--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -1,28 +1,32 @@
-// A server starts while the clock of its machine is ahead, and starts again
-// after the clock has jumped back. Later it says that it is draining.
+// A balancer freezes for some seconds, again and again. Flows that are opened
+// meanwhile get their last SYN to another balancer, and the frozen one places
+// the earlier SYN at a second server when it wakes. The flows are used again
+// once all machines are in touch.
 #include "Deployment.h"
 
 using namespace review;
 
 namespace {
 
-constexpr int kClockAheadMs = 2400; // x of clock_step
-constexpr int kFirstLifeMs = 1200;
-constexpr int kDownMs = 300;
-constexpr int kOpenEveryMs = 20;
-constexpr size_t kAnswerBytes = 2000;
-constexpr int kDrainMs = 3000;
-constexpr int kSlackMs = 200;
-constexpr int kStayMs = 9000; // "a little longer (at times many seconds)"
+constexpr int kCycles = 9;
+constexpr int kFreezeMs = 3500;  // for_s of node_freeze
+constexpr int kOpenFromMs = 300; // after the begin of a freeze
+constexpr int kOpenUntilMs = 1500;
+constexpr int kOpenEveryMs = 2;
+constexpr int kPauseMs = 8000; // before a flow's second request
+constexpr int kCycleMs = 11'000;
+constexpr int kStableWindowMs = 4000;
+constexpr size_t kAnswerBytes = 600;
 
-// Clients open a flow for each request.
 void
-KeepOpening(Deployment& deployment, Caller& caller)
+OpenFlow(Deployment& deployment, Caller& caller)
 {
-  caller.Open(kAnswerBytes,
-              [&](Caller::Flow& flow) { caller.Close(flow.key); });
-  deployment.Events().After(milliseconds(kOpenEveryMs),
-                            [&] { KeepOpening(deployment, caller); });
+  caller.Open(kAnswerBytes, [&](Caller::Flow& flow) {
+    deployment.Events().After(milliseconds(kPauseMs), [&, key = flow.key] {
+      caller.Ask(
+        key, kAnswerBytes, [&](Caller::Flow& last) { caller.Close(last.key); });
+    });
+  });
 }
 
 int
@@ -30,45 +34,48 @@
 {
   Record& record = deployment.Log();
   Loop& loop = deployment.Events();
-  int ahead = HasTrouble() ? kClockAheadMs : 0;
-  deployment.CrashServer(0);
-  Sleep(4000);
-  record.Add("the clock of the server's machine is ahead by " +
-             std::to_string(ahead) + " ms");
-  deployment.StartServer(0, ahead);
-  Sleep(kFirstLifeMs);
-  record.Add("the clock of the server's machine is right again");
-  deployment.CrashServer(0);
-  Sleep(kDownMs);
-  deployment.StartServer(0);
-  Sleep(100);
-
   Caller& caller = deployment.AddCaller(0, 0);
-  loop.Post([&] { KeepOpening(deployment, caller); });
-  Sleep(12'000);
-
-  FlowServer& server = deployment.Server(0);
-  record.Add("server " + server.Options().id + " says that it is draining");
-  server.Drain();
-  Sleep(kStayMs);
-  deployment.RecordLogs("\"event\":\"heartbeat\"");
-  std::optional<TimePoint> acknowledged = server.DrainingAcknowledgedAt();
-  if (!acknowledged) {
-    record.Add("that the server is draining was not acknowledged");
-    return kNotRun;
+  std::vector<TimePoint> wakes;
+  for (int cycle = 0; cycle < kCycles; ++cycle) {
+    Daemon& balancer = deployment.Balancer(cycle % 3);
+    auto begin = Clock::now();
+    auto until = [&](int ms) {
+      std::this_thread::sleep_until(begin + milliseconds(ms));
+    };
+    if (HasTrouble()) {
+      record.Add("platform: " + balancer.Name() + " freezes");
+      balancer.Signal(SIGSTOP);
+    }
+    for (int ms = kOpenFromMs; ms < kOpenUntilMs; ms += kOpenEveryMs) {
+      until(ms);
+      loop.Post([&] { OpenFlow(deployment, caller); });
+    }
+    until(kFreezeMs);
+    if (HasTrouble()) {
+      balancer.Signal(SIGCONT);
+      wakes.push_back(Clock::now());
+      record.Add("platform: " + balancer.Name() + " wakes");
+    }
+    until(kCycleMs);
   }
+  deployment.RecordLogs("\"event\":\"flow-reset\"", 400);
   return loop.Call([&] {
-    TimePoint bound = *acknowledged + milliseconds(kDrainMs + kSlackMs);
-    int early = 0;
-    int late = 0;
-    for (TimePoint at : server.Arrivals()) {
-      early += at < *acknowledged ? 1 : 0;
-      late += at > bound ? 1 : 0;
+    int used = 0;
+    int broken = 0;
+    for (const auto& [key, flow] : caller.Flows()) {
+      used += flow.requests > 1 ? 1 : 0;
+      bool isInTouch = true;
+      for (TimePoint wake : wakes) {
+        isInTouch &= flow.endedAt < wake - milliseconds(kFreezeMs) ||
+                     flow.endedAt > wake + milliseconds(kStableWindowMs);
+      }
+      broken += flow.isBroken && isInTouch ? 1 : 0;
     }
-    record.Add("new flows at the server before it was draining: " +
-               std::to_string(early) + ", later than drain-ms + slack-ms " +
-               "after the acknowledgement: " + std::to_string(late));
-    return early == 0 ? kNotRun : late > 0 ? kBroken : kHeld;
+    record.Add("flows with a second request: " + std::to_string(used) +
+               ", open at their server and reset by the system while all "
+               "machines were in touch: " +
+               std::to_string(broken));
+    return used == 0 ? kNotRun : broken > 0 ? kBroken : kHeld;
   });
 }
 
@@ -78,7 +85,8 @@
 main(int, char** arguments)
 {
   DeploymentOptions options;
-  options.groups = { { "circulation", 3 }, { "jackets", 1 } };
+  options.groups = { { "circulation", 10 }, { "jackets", 1 } };
+  options.workMs = 4;
   return RunCase(options,
                  { "circulation", "jackets" },
                  arguments[1],
