Tell two servers of a flow apart by the numbers that each has sent

Cause: an agent took any acknowledgement within 64 MiB of its server's first number for one of its server. So it delivered packets of a flow that another server has, took the bounce for a loss and reset the flow; and it denied its own flow once the server had sent more. Change: ServerSequence keeps the range of numbers that the server has sent. A number outside belongs to another server, one inside proves that the flow was here. Where the agent has not seen the flow from its start, a number outside proves nothing. A bounced foreign packet no longer erases the server's own flow. A flow that a restarted server lost is still reset with its first bounced packet.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -13,8 +13,6 @@
 constexpr Duration kPauseThreshold = Milliseconds(150);
 /** Time in which a working server answers a SYN. */
 constexpr Duration kSynAnswerTimeout = Milliseconds(60);
-/** Maximum distance of an acknowledgement from the server's first byte. */
-constexpr uint32_t kMaxAnswerBytes = 64U * 1024 * 1024;
 /** Maximum number of bounced flows per generation. */
 constexpr size_t kMaxBouncedFlows = 10'000;
 /** Retransmissions of a SYN that a caller sends per attempt. */
@@ -113,12 +111,6 @@
   return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
 }
 
-bool
-FlowAgent::BelongsToOtherServer(const Flow& aFlow, uint32_t aAck)
-{
-  return aFlow.m_hasServerSeq && aAck - aFlow.m_serverSeq - 1 > kMaxAnswerBytes;
-}
-
 AgentDecision
 FlowAgent::OnBalancerPacket(TimePoint aNow,
                             const PacketHeader& aHeader,
@@ -139,7 +131,8 @@
     return mayBeHere ? AgentDecision{ FlowAgentAction::Deliver }
                      : ReturnPacket(ReturnReason::NotOwner, aBalancerIp);
   }
-  if (BelongsToOtherServer(*flow, aHeader.m_ack) && !aHeader.Has(kReset)) {
+  bool isForeign = flow->m_sent.OriginOf(aHeader.m_ack) == AckOrigin::Foreign;
+  if (isForeign && !aHeader.Has(kReset)) {
     return ReturnPacket(ReturnReason::NotOwner, aBalancerIp);
   }
   if (!IsOrdered(aHeader, *flow)) {
@@ -393,10 +386,7 @@
     flow = &m_flows.Insert(key, {});
     flow->m_phase = Phase::Idle;
   }
-  if (aHeader.Has(kSyn)) {
-    flow->m_hasServerSeq = true;
-    flow->m_serverSeq = aHeader.m_seq;
-  }
+  flow->m_sent.OnPacket(aHeader, !MayHaveUntrackedFlows(aNow));
   AgentDecision decision{ FlowAgentAction::ToCaller };
   // The FIN of a flow that carries one request often overtakes the answer.
   bool isAnswer = aHeader.m_length > 0 ||
@@ -490,22 +480,28 @@
   FlowKey key = aHeader.FlowFromCaller();
   uint32_t balancerIp = aHeader.m_tag;
   Flow* flow = m_flows.Find(key);
+  AckOrigin origin =
+    flow ? flow->m_sent.OriginOf(aHeader.m_ack) : AckOrigin::Unknown;
+  if (!aHeader.IsSyn() && origin == AckOrigin::Foreign) {
+    // The server may have a flow of the same addresses with other numbers.
+    return ReturnPacket(ReturnReason::NotOwner, balancerIp);
+  }
   if (!aHeader.IsSyn()) {
     m_bouncedFlows.Insert(key, true);
   }
   if (!flow) {
     return ReturnPacket(ReturnReason::Bounced, balancerIp);
   }
-  // A server answers packets of flows that it has closed. A bounced flow that
-  // was open here was therefore lost with an earlier incarnation.
-  bool wasOpenHere =
-    flow->m_hasServerSeq && !BelongsToOtherServer(*flow, aHeader.m_ack);
   if (aHeader.IsSyn()) {
     m_startup.OnRefused(aNow, flow->m_busySince);
   }
   m_flows.SetPhase(TimePoint{}, key, *flow, Phase::Closed);
   m_flows.Erase(key);
-  if (!aHeader.IsSyn() && wasOpenHere && !aHeader.Has(kReset)) {
+  // A server answers packets of flows that it has closed. A bounced packet that
+  // acknowledges what the server has sent is therefore proof that the flow was
+  // lost with an earlier incarnation.
+  bool isLost = !aHeader.IsSyn() && origin == AckOrigin::Server;
+  if (isLost && !aHeader.Has(kReset)) {
     return { FlowAgentAction::Reset };
   }
   return ReturnPacket(ReturnReason::Bounced, balancerIp);
@@ -541,14 +537,28 @@
   m_startup.OnSubscribe(aNow, aMessage);
 }
 
+// A flow without known numbers is in the table because the server has sent
+// packets on it, or because its SYN packet has just been delivered.
+FlowOwnership
+FlowAgent::OwnershipOf(const Flow& aFlow, uint32_t aAck)
+{
+  switch (aFlow.m_sent.OriginOf(aAck)) {
+    case AckOrigin::Server:
+      return FlowOwnership::Yes;
+    case AckOrigin::Foreign:
+      return FlowOwnership::No;
+    case AckOrigin::Unknown:
+      break;
+  }
+  return aFlow.m_sent.IsKnown() ? FlowOwnership::Possible : FlowOwnership::Yes;
+}
+
 FlowAnswer
 FlowAgent::OnQuery(TimePoint aNow, const FlowQuery& aQuery)
 {
   FlowAnswer answer{ aQuery.m_flow, FlowOwnership::No };
   if (Flow* flow = m_flows.Find(aQuery.m_flow)) {
-    if (!BelongsToOtherServer(*flow, aQuery.m_ack)) {
-      answer.m_ownership = FlowOwnership::Yes;
-    }
+    answer.m_ownership = OwnershipOf(*flow, aQuery.m_ack);
   } else if (MayHaveUntrackedFlows(aNow) &&
              !m_bouncedFlows.Find(aQuery.m_flow)) {
     answer.m_ownership = FlowOwnership::Possible;
@@ -590,7 +600,7 @@
     UnansweredSyn syn = m_unansweredSyns.front().m_syn;
     m_unansweredSyns.pop_front();
     Flow* flow = m_flows.Find(syn.m_flow);
-    if (!flow || flow->m_phase != Phase::Handshake || flow->m_hasServerSeq) {
+    if (!flow || flow->m_phase != Phase::Handshake || flow->m_sent.IsKnown()) {
       continue;
     }
     m_startup.OnRefused(aNow, flow->m_busySince);
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -222,9 +222,9 @@
   AgentDecision Enqueue(TimePoint aNow, QueuedSyn aSyn);
   /** Rejects a SYN that was evicted from the queue or has expired. */
   void RejectQueued(QueuedSyn aSyn);
-  /** True if the acknowledgement number does not match this server's sequence
-   * numbers in the flow. */
-  static bool BelongsToOtherServer(const Flow& aFlow, uint32_t aAck);
+  /** Tells whether a flow of the table is the one that a caller's
+   * acknowledgement number belongs to. */
+  static FlowOwnership OwnershipOf(const Flow& aFlow, uint32_t aAck);
   ServerLoad CurrentLoad(TimePoint aNow) const;
 
   FlowAgentOptions m_options;
--- a/packages/flow/FlowTable.h
+++ b/packages/flow/FlowTable.h
@@ -2,6 +2,7 @@
 
 #include "GenerationMap.h"
 #include "Packet.h"
+#include "ServerSequence.h"
 #include "ServerStartup.h"
 #include "Time.h"
 
@@ -24,8 +25,7 @@
 struct AgentFlow
 {
   FlowPhase m_phase = FlowPhase::Handshake;
-  bool m_hasServerSeq = false;
-  uint32_t m_serverSeq = 0;
+  ServerSequence m_sent;
   TimePoint m_busySince;
   /** Time of the last request; the epoch before the first one. */
   TimePoint m_requestedAt;
