Keep a flow in the table when its server returns a copy of its SYN packet

Cause: an agent forgot a flow when the server returned a SYN packet of it. A full server can return a late copy of the SYN packet of a flow that it has open; the agent then denied the flow, and a balancer that searched for it reset it. Found by reading each place that denies a flow. Change: a returned SYN packet counts as a refusal only if the server has not answered one before.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -489,7 +489,9 @@
   if (!aHeader.IsSyn()) {
     m_bouncedFlows.Insert(key, true);
   }
-  if (!flow) {
+  // A full server can return a copy of the SYN packet of a flow that it has.
+  bool isCopy = aHeader.IsSyn() && flow && flow->m_sent.IsKnown();
+  if (!flow || isCopy) {
     return ReturnPacket(ReturnReason::Bounced, balancerIp);
   }
   if (aHeader.IsSyn()) {
--- a/test/correctness/FlowOwnership.cpp
+++ b/test/correctness/FlowOwnership.cpp
@@ -128,6 +128,19 @@
             FlowAgentAction::Deliver);
 }
 
+// Guards against the loss of an open flow from the flow table because a full
+// server returned a late copy of its SYN packet.
+Test(FlowOwnership, AReturnedCopyOfTheSynPacketSaysNothingAboutTheFlow)
+{
+  AnsweredSyn syn;
+  syn.Send(kServerSeq + 1);
+  PacketHeader copy = SynPacket();
+  copy.m_ack = 2;
+  copy.m_flags |= kBounced;
+  syn.m_agent.OnServerPacket(syn.m_now, copy);
+  cr_assert(syn.Query(kServerSeq + 1) == FlowOwnership::Yes);
+}
+
 // Guards against the reset of a flow on which the server has sent much.
 Test(FlowOwnership, AFlowWithLongAnswersStaysAtItsServer)
 {
