An agent whose flow table was full does not deny flows

Cause: a generation of the flow table that is full ends early, and the flows of the one before are forgotten while their server holds them. The agent denied them, so that a balancer that searched for them reset them. Found by reading. Change: after an early end the agent answers "possible" for the maximum age of a flow, as after a start beside a running server. Result: FlowOwnership::AnAgentWithAFullTableDeniesNothing failed before and passes.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -25,7 +25,7 @@
 FlowAgent::FlowAgent(FlowAgentOptions aOptions, TimePoint aStart)
   : m_options(std::move(aOptions))
   , m_serviceTag(ServiceTag(m_options.m_service))
-  , m_start(aStart)
+  , m_untrackedUntil(aStart + m_options.m_maxFlowAge)
   , m_server(m_options.m_heartbeatEvery)
   , m_pause(kPauseThreshold)
   , m_startup(m_options.m_startup, aStart)
@@ -103,12 +103,15 @@
   return { FlowAgentAction::Return, aReason, aBalancerIp };
 }
 
-// An agent that started after its server has no state for the flows that were
-// opened before. They end within the maximum flow age.
+// An agent that started after its server, or whose table was full, has no state
+// for flows that were opened before. They end within the maximum flow age.
 bool
-FlowAgent::MayHaveUntrackedFlows(TimePoint aNow) const
+FlowAgent::MayHaveUntrackedFlows(TimePoint aNow)
 {
-  return !m_sawIncarnationStart && aNow < m_start + m_options.m_maxFlowAge;
+  if (m_flows.TakeOverflow()) {
+    m_untrackedUntil = aNow + m_options.m_maxFlowAge;
+  }
+  return aNow < m_untrackedUntil;
 }
 
 AgentDecision
@@ -516,7 +519,7 @@
   HeartbeatResult result = m_server.OnHeartbeat(aNow, aHeartbeat);
   m_startup.OnHeartbeat(aNow, result, aHeartbeat.m_warmupLeft, wasSilent);
   if (result == HeartbeatResult::NewIncarnation) {
-    m_sawIncarnationStart = true;
+    m_untrackedUntil = aNow;
     m_circuit.OnNewIncarnation();
     if (m_startup.IsPaceOn()) {
       m_flows.ReleaseRequests(aNow);
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -205,7 +205,8 @@
   /** Why no new flow may reach the server; None if it may. */
   ReturnReason RefusalOfNewFlows(TimePoint aNow) const;
   AgentDecision ReturnPacket(ReturnReason aReason, uint32_t aBalancerIp);
-  bool MayHaveUntrackedFlows(TimePoint aNow) const;
+  /** True if the server may have flows that are missing from the table. */
+  bool MayHaveUntrackedFlows(TimePoint aNow);
   /** True if a new flow would wait for a slot. */
   bool HasNoFreeSlot(TimePoint aNow) const;
   /** True if the server may get one more flow of the priority. */
@@ -229,7 +230,9 @@
 
   FlowAgentOptions m_options;
   uint32_t m_serviceTag;
-  TimePoint m_start;
+  /** Time until which flows may be open that this agent has not seen from their
+   * first packet on. */
+  TimePoint m_untrackedUntil;
   ServerTracker m_server;
   PauseDetector m_pause;
   ServerStartup m_startup;
@@ -255,7 +258,6 @@
   std::vector<DequeuedPacket> m_dequeued;
   ReportSchedule m_reports;
   Evacuations m_evacuations;
-  bool m_sawIncarnationStart = false;
   bool m_isStopping = false;
 };
 
--- a/packages/flow/FlowTable.h
+++ b/packages/flow/FlowTable.h
@@ -57,6 +57,8 @@
   void Open(TimePoint aNow, const FlowKey& aKey, uint8_t aPriority);
   /** Erases a flow that is not busy. */
   void Erase(const FlowKey& aKey) { m_flows.Erase(aKey); }
+  /** True once after flows were evicted because the table was full. */
+  bool TakeOverflow() { return m_flows.TakeEndedEarly(); }
   /** Evicts the flows that were not used since the last call. */
   void StartGeneration() { m_flows.StartGeneration(); }
 
--- a/packages/flow/GenerationMap.h
+++ b/packages/flow/GenerationMap.h
@@ -40,6 +40,7 @@
   {
     m_previous.erase(aKey);
     if (m_current.size() >= m_maxEntries && !m_current.contains(aKey)) {
+      m_hasEndedEarly = true;
       StartGeneration();
     }
     return m_current.insert_or_assign(aKey, std::move(aValue)).first->second;
@@ -58,10 +59,15 @@
     m_current.clear();
   }
 
+  /** True once after a generation was ended early, so that entries may be
+   * missing which were accessed in this generation or the last one. */
+  bool TakeEndedEarly() { return std::exchange(m_hasEndedEarly, false); }
+
   size_t Size() const { return m_current.size() + m_previous.size(); }
 
 private:
   size_t m_maxEntries;
+  bool m_hasEndedEarly = false;
   absl::flat_hash_map<Key, Value> m_current;
   absl::flat_hash_map<Key, Value> m_previous;
 };
--- a/test/correctness/FlowOwnership.cpp
+++ b/test/correctness/FlowOwnership.cpp
@@ -141,6 +141,27 @@
   cr_assert(syn.Query(kServerSeq + 1) == FlowOwnership::Yes);
 }
 
+// Guards against the reset of flows that the agent has forgotten, because its
+// table was full.
+Test(FlowOwnership, AnAgentWithAFullTableDeniesNothing)
+{
+  FlowAgentOptions options = AnsweredSyn::Options();
+  options.m_maxFlows = 1;
+  AnsweredSyn syn(1, options);
+  syn.Send(kServerSeq + 1);
+  for (uint16_t caller = 1; caller < 4; ++caller) {
+    PacketHeader answer = AnsweredSyn::FromServer();
+    answer.m_destination.m_port = caller;
+    answer.m_flags = kSyn | kAck;
+    syn.m_agent.OnServerPacket(syn.m_now, answer);
+  }
+  cr_assert(syn.Query(kServerSeq + 1) == FlowOwnership::Possible);
+  cr_assert(syn.Send(kServerSeq + 1).m_action == FlowAgentAction::Deliver);
+  // The flow is too old to be open by then.
+  syn.m_now += options.m_maxFlowAge + Seconds(1);
+  cr_assert(syn.Query(kServerSeq + 1) == FlowOwnership::No);
+}
+
 // Guards against the reset of a flow on which the server has sent much.
 Test(FlowOwnership, AFlowWithLongAnswersStaysAtItsServer)
 {
