Ask the agents of all services before a flow counts as lost

Cause: a search covered the services of the present route and those that this process had seen before. A balancer that started later, or skipped a version, asked too few agents and took their denials for proof. An agent that became known during a search was not asked either. Change: a search asks the likely agents first and, if these have no result, all others; a flow is reset only when each known agent has denied it or counts as unreachable. Earlier services only tell whom to ask first and are kept for one to two minutes (they were kept for ever).

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -326,6 +326,14 @@
   return found == m_agents.end() ? nullptr : &found->second;
 }
 
+bool
+AgentList::HasAgentAddedSince(TimePoint aTime) const
+{
+  return std::any_of(m_agents.begin(), m_agents.end(), [&](const auto& aItem) {
+    return aItem.second.m_addedAt >= aTime;
+  });
+}
+
 // Without any report the balancer itself is probably disconnected.
 std::vector<uint32_t>
 AgentList::ListedWithoutReports(TimePoint aNow, Duration aDuration) const
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -144,11 +144,20 @@
   /** Addresses of all agents of a service, whatever their condition. */
   const std::set<uint32_t>& AgentsOf(const std::string& aService) const;
 
+  /** Addresses of all agents by service, whatever their condition. */
+  const std::map<std::string, std::set<uint32_t>>& ByService() const
+  {
+    return m_byService;
+  }
+
   /** Returns the agent at an address, or nullptr. */
   const AgentState* Find(uint32_t aAgentIp) const;
   /** All agents by address. */
   const std::map<uint32_t, AgentState>& All() const { return m_agents; }
 
+  /** True if an agent was added at or after aTime. */
+  bool HasAgentAddedSince(TimePoint aTime) const;
+
   /** Listed agents without a report for aDuration. Empty if no agent is
    * reporting. */
   std::vector<uint32_t> ListedWithoutReports(TimePoint aNow,
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr size_t kMaxFlows = 500'000;
+/** Maximum number of changed or dropped routes per generation. */
+constexpr size_t kMaxEarlierRoutes = 10'000;
+/** Time for which a changed or dropped route is known at least. */
+constexpr Duration kEarlierRouteRetention = Seconds(60);
 /** Returns of a SYN after which the next agent may queue it at any load. */
 constexpr uint8_t kTriesBeforeQueueing = 5;
 /** The same while the balancer is lagging. */
@@ -35,6 +39,7 @@
 FlowBalancer::FlowBalancer(std::string aDomain, uint64_t aSeed)
   : m_agents(std::move(aDomain))
   , m_random(aSeed)
+  , m_earlierServices(kMaxEarlierRoutes)
   , m_flows(kMaxFlows)
   , m_pause(kPauseThreshold)
 {
@@ -60,20 +65,22 @@
   return m_routes ? m_routes->m_services : none;
 }
 
-// Flows that were placed under the earlier routes stay at their servers, so
-// searches have to cover the earlier services as well.
+// Flows that were placed under the earlier routes stay at their servers.
 void
 FlowBalancer::RecordEarlierServices(const RouteTable& aEarlier,
                                     const RouteTable& aNext)
 {
   for (const auto& [address, route] : aEarlier.m_routes) {
     const Route* next = aNext.Find(address);
-    if (!next || next->m_targets == route.m_targets) {
+    if (next && next->m_targets == route.m_targets) {
       continue;
     }
+    const auto* known = m_earlierServices.Find(address);
+    std::set<std::string> services = known ? *known : std::set<std::string>();
     for (const RouteTarget& target : route.m_targets) {
-      m_earlierServices[address].insert(target.m_service);
+      services.insert(target.m_service);
     }
+    m_earlierServices.Insert(address, std::move(services));
   }
 }
 
@@ -139,7 +146,7 @@
     if (agent && !isLost) {
       Forward(key, *agent, FlowReason::Known);
     } else {
-      SearchFor(aNow, aHeader, aBytes, *route, 0);
+      SearchFor(aNow, aHeader, aBytes, 0);
     }
     return m_steps;
   }
@@ -299,7 +306,7 @@
     if (m_searches.Contains(key)) {
       ApplySearchStep(aNow, m_searches.OnReturned(aNow, key, aAgentIp, aBytes));
     } else {
-      SearchFor(aNow, aHeader, aBytes, *route, aAgentIp);
+      SearchFor(aNow, aHeader, aBytes, aAgentIp);
     }
     return m_steps;
   }
@@ -326,28 +333,34 @@
   return m_steps;
 }
 
+// A flow can be at an agent of any service: routes are moved, and a balancer
+// that started later or skipped a version does not know the earlier services.
+// Those of the present route, and those that it knows of, are asked first.
 SearchScope
 FlowBalancer::SearchScopeFor(TimePoint aNow,
-                             const Route& aRoute,
-                             uint32_t aExcludedIp) const
+                             const FlowKey& aFlow,
+                             uint32_t aDenyingIp)
 {
+  std::set<std::string> likely;
+  if (const Route* route = m_routes->Find(aFlow.m_service)) {
+    for (const RouteTarget& target : route->m_targets) {
+      likely.insert(target.m_service);
+    }
+  }
+  if (const auto* earlier = m_earlierServices.Find(aFlow.m_service)) {
+    likely.insert(earlier->begin(), earlier->end());
+  }
   SearchScope scope;
   scope.m_isComplete = IsAgentListComplete(aNow);
-  // An agent has one service, so no agent is added twice.
-  std::set<std::string> services;
-  for (const RouteTarget& target : aRoute.m_targets) {
-    services.insert(target.m_service);
-  }
-  auto earlier = m_earlierServices.find(aRoute.m_address);
-  if (earlier != m_earlierServices.end()) {
-    services.insert(earlier->second.begin(), earlier->second.end());
-  }
-  for (const std::string& service : services) {
-    for (uint32_t ip : m_agents.AgentsOf(service)) {
-      if (ip != aExcludedIp) {
-        scope.m_agents.push_back(ip);
-      }
-    }
+  for (const auto& [service, agents] : m_agents.ByService()) {
+    bool isLikely = likely.contains(service);
+    std::vector<uint32_t>& group = isLikely ? scope.m_agents : scope.m_others;
+    group.insert(group.end(), agents.begin(), agents.end());
+  }
+  std::erase(scope.m_agents, aDenyingIp);
+  std::erase(scope.m_others, aDenyingIp);
+  if (scope.m_agents.empty()) {
+    std::swap(scope.m_agents, scope.m_others);
   }
   return scope;
 }
@@ -356,14 +369,13 @@
 FlowBalancer::SearchFor(TimePoint aNow,
                         const PacketHeader& aHeader,
                         PacketBytes aBytes,
-                        const Route& aRoute,
-                        uint32_t aExcludedIp)
+                        uint32_t aDenyingIp)
 {
   FlowKey key = aHeader.FlowFromCaller();
   if (m_searches.Contains(key)) {
     return m_searches.HoldPacket(key, aBytes);
   }
-  SearchScope scope = SearchScopeFor(aNow, aRoute, aExcludedIp);
+  SearchScope scope = SearchScopeFor(aNow, key, aDenyingIp);
   bool isKnown =
     m_resetsLostFlows && RemoveDenials(aNow, key, aHeader.m_ack, scope);
   bool isLost =
@@ -376,7 +388,7 @@
     lost.m_flow = key;
     lost.m_ack = aHeader.m_ack;
     lost.m_unanswered = std::move(scope.m_agents);
-    return EndLostFlow(aNow, lost);
+    return EndLostFlow(aNow, std::move(lost));
   }
   std::optional<SearchStep> step =
     m_searches.Start(aNow, key, aHeader.m_ack, aBytes, scope);
@@ -402,7 +414,7 @@
       m_steps.back().m_queriedAgents = std::move(aStep.m_agents);
       return;
     case SearchAction::Lost:
-      return EndLostFlow(aNow, aStep);
+      return EndLostFlow(aNow, std::move(aStep));
     case SearchAction::GiveUp:
       return EndUndecidedSearch(aNow, std::move(aStep));
     case SearchAction::Found:
@@ -412,15 +424,17 @@
   }
 }
 
+// An agent that was added since the search began was not asked.
 void
-FlowBalancer::EndLostFlow(TimePoint aNow, const SearchStep& aStep)
+FlowBalancer::EndLostFlow(TimePoint aNow, SearchStep aStep)
 {
-  bool isComplete = IsAgentListComplete(aNow);
-  m_lostFlowResets += isComplete ? 1 : 0;
-  AddStep(isComplete ? FlowBalancerAction::Reset : FlowBalancerAction::Drop,
-          FlowReason::Unowned,
-          aStep.m_flow,
-          aStep.m_ack);
+  if (!IsAgentListComplete(aNow) ||
+      m_agents.HasAgentAddedSince(aNow - aStep.m_elapsed)) {
+    return EndUndecidedSearch(aNow, std::move(aStep));
+  }
+  m_lostFlowResets += 1;
+  AddStep(
+    FlowBalancerAction::Reset, FlowReason::Unowned, aStep.m_flow, aStep.m_ack);
   m_steps.back().m_unreachableCount =
     static_cast<uint32_t>(aStep.m_unanswered.size());
 }
@@ -442,7 +456,8 @@
   }
 }
 
-// An agent that was added after the search was not asked.
+// Agents that were added since have not been asked. What is left is asked at
+// once, since there are few.
 bool
 FlowBalancer::RemoveDenials(TimePoint aNow,
                             const FlowKey& aFlow,
@@ -454,8 +469,11 @@
   if (!undecided) {
     return false;
   }
+  std::vector<uint32_t>& agents = aScope.m_agents;
+  agents.insert(agents.end(), aScope.m_others.begin(), aScope.m_others.end());
+  aScope.m_others.clear();
   const std::vector<uint32_t>& unanswered = undecided->m_unanswered;
-  std::erase_if(aScope.m_agents, [&](uint32_t aIp) {
+  std::erase_if(agents, [&](uint32_t aIp) {
     bool isUnanswered =
       std::find(unanswered.begin(), unanswered.end(), aIp) != unanswered.end();
     return !isUnanswered &&
@@ -585,6 +603,10 @@
     m_nextGeneration = aNow + m_routes->m_flowIdleTimeout;
     m_flows.StartGeneration();
   }
+  if (aNow >= m_nextRouteGeneration) {
+    m_nextRouteGeneration = aNow + kEarlierRouteRetention;
+    m_earlierServices.StartGeneration();
+  }
   AgentPredicate isUnreachable;
   if (m_resetsLostFlows) {
     m_reachability.OnTick(aNow);
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -217,19 +217,19 @@
   void RefuseFlow(TimePoint aNow,
                   const PacketHeader& aHeader,
                   const std::string& aService);
+  /** aDenyingIp is the agent that denied the flow just now, or 0. */
   void SearchFor(TimePoint aNow,
                  const PacketHeader& aHeader,
                  PacketBytes aBytes,
-                 const Route& aRoute,
-                 uint32_t aExcludedIp);
-  /** Returns the agents that may have a flow of a route. */
+                 uint32_t aDenyingIp);
+  /** Returns the agents that may have a flow. */
   SearchScope SearchScopeFor(TimePoint aNow,
-                             const Route& aRoute,
-                             uint32_t aExcludedIp) const;
+                             const FlowKey& aFlow,
+                             uint32_t aDenyingIp);
   /** Turns a search step into balancer steps. */
   void ApplySearchStep(TimePoint aNow, SearchStep aStep);
-  /** Resets or drops a flow that no reachable agent has. */
-  void EndLostFlow(TimePoint aNow, const SearchStep& aStep);
+  /** Resets a flow that no reachable agent has, if all agents were asked. */
+  void EndLostFlow(TimePoint aNow, SearchStep aStep);
   /** Drops the packets of an undecided search and remembers its result. */
   void EndUndecidedSearch(TimePoint aNow, SearchStep aStep);
   /** Removes agents that denied the flow in an undecided search. Returns false
@@ -258,8 +258,10 @@
   std::mt19937_64 m_random;
   RouteTablePointer m_routes;
   bool m_requiresEvacuations = false;
-  /** Services that were targets of an address under earlier routes. */
-  absl::flat_hash_map<Endpoint, std::set<std::string>> m_earlierServices;
+  /** Services that were targets of an address under earlier routes of which
+   * this process knows, if they differ from the present ones. */
+  GenerationMap<Endpoint, std::set<std::string>> m_earlierServices;
+  TimePoint m_nextRouteGeneration;
   GenerationMap<FlowKey, Flow> m_flows;
   FlowSearches m_searches;
   bool m_resetsLostFlows = false;
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -13,8 +13,8 @@
 constexpr size_t kMaxUnanswered = 3'000;
 /** Maximum number of packets held for one search. */
 constexpr size_t kMaxHeld = 4;
-/** Time after which candidates get the packets although answers of other agents
- * are outstanding. */
+/** Time after which candidates get the packets, or the other agents are
+ * queried, although answers are outstanding. */
 constexpr Duration kAnswerTimeout = Milliseconds(30);
 /** Time after which agents that have not answered are queried once more. */
 constexpr Duration kQueryAgainAfter = Milliseconds(250);
@@ -40,17 +40,17 @@
                     PacketBytes aBytes,
                     const SearchScope& aScope)
 {
-  // One search is always allowed, however many agents it has to query.
-  bool isTooMany = m_unansweredCount > 0 &&
-                   m_unansweredCount + aScope.m_agents.size() > kMaxUnanswered;
-  if (m_searches.size() >= kMaxSearches || isTooMany) {
+  if (m_searches.size() >= kMaxSearches || !MayAwait(aScope.m_agents.size())) {
     return std::nullopt;
   }
   Search& search = m_searches[aFlow];
   search.m_startedAt = aNow;
+  search.m_othersQueriedAt = aNow;
   search.m_ack = aAck;
   search.m_isComplete = aScope.m_isComplete;
   search.m_unanswered = aScope.m_agents;
+  search.m_others = aScope.m_others;
+  search.m_wereOthersQueried = search.m_others.empty();
   search.m_heldPackets.emplace_back(aBytes.begin(), aBytes.end());
   m_unansweredCount += search.m_unanswered.size();
   SearchStep step;
@@ -61,6 +61,14 @@
   return step;
 }
 
+// One search is always allowed, however many agents it has to query.
+bool
+FlowSearches::MayAwait(size_t aAnswers) const
+{
+  return m_unansweredCount == 0 ||
+         m_unansweredCount + aAnswers <= kMaxUnanswered;
+}
+
 void
 FlowSearches::HoldPacket(const FlowKey& aFlow, PacketBytes aBytes)
 {
@@ -86,10 +94,13 @@
   step.m_elapsed = aNow - search.m_startedAt;
   m_unansweredCount -= search.m_unanswered.size();
   step.m_unanswered = std::move(search.m_unanswered);
-  for (const std::vector<uint32_t>* candidates :
-       { &search.m_untried, &search.m_trying }) {
+  if (search.m_wereOthersQueried) {
+    search.m_others.clear();
+  }
+  for (const std::vector<uint32_t>* undecided :
+       { &search.m_untried, &search.m_trying, &search.m_others }) {
     step.m_unanswered.insert(
-      step.m_unanswered.end(), candidates->begin(), candidates->end());
+      step.m_unanswered.end(), undecided->begin(), undecided->end());
   }
   m_searches.erase(aFound);
   return step;
@@ -126,14 +137,17 @@
   if (!search.m_trying.empty()) {
     return {};
   }
-  bool isAwaitingAnswers =
-    !search.m_unanswered.empty() && aNow - search.m_startedAt <= kAnswerTimeout;
+  bool isAwaitingAnswers = !search.m_unanswered.empty() &&
+                           aNow - search.m_othersQueriedAt <= kAnswerTimeout;
   if (isAwaitingAnswers) {
     return {};
   }
   if (!search.m_untried.empty()) {
     return TryCandidates(aNow, aFound);
   }
+  if (!search.m_wereOthersQueried) {
+    return QueryOthers(aNow, aFound);
+  }
   if (!search.m_unanswered.empty()) {
     return {};
   }
@@ -197,6 +211,24 @@
   return step;
 }
 
+// A flow can be at a server of another service than those of its present route:
+// the route was moved, and this process did not see that or no longer knows it.
+// While too many answers are outstanding, a later call tries again.
+SearchStep
+FlowSearches::QueryOthers(TimePoint aNow, Searches::iterator aFound)
+{
+  Search& search = aFound->second;
+  if (!MayAwait(search.m_others.size())) {
+    return {};
+  }
+  search.m_wereOthersQueried = true;
+  search.m_othersQueriedAt = aNow;
+  search.m_unanswered.insert(
+    search.m_unanswered.end(), search.m_others.begin(), search.m_others.end());
+  m_unansweredCount += search.m_others.size();
+  return Query(aFound, search.m_others);
+}
+
 // By the time of the second query the flow's server has usually answered the
 // caller, so its agent answers Yes. A candidate that neither answers nor
 // returns the packet may just be slow, so after the timeout the search succeeds
@@ -223,13 +255,27 @@
   return {};
 }
 
+TimePoint
+FlowSearches::AwaitedSince(const Search& aSearch)
+{
+  const std::vector<uint32_t>& others = aSearch.m_others;
+  bool isAwaitingOthers = std::any_of(
+    aSearch.m_unanswered.begin(),
+    aSearch.m_unanswered.end(),
+    [&](uint32_t aIp) {
+      return std::find(others.begin(), others.end(), aIp) != others.end();
+    });
+  return isAwaitingOthers ? aSearch.m_othersQueriedAt : aSearch.m_startedAt;
+}
+
 bool
 FlowSearches::IsOnlyAwaitingUnreachable(TimePoint aNow,
                                         const Search& aSearch,
                                         const AgentPredicate& aIsUnreachable)
 {
   bool isDue = aIsUnreachable && aSearch.m_isComplete &&
-               aNow - aSearch.m_startedAt > kUnreachableAnswerTimeout;
+               aSearch.m_wereOthersQueried &&
+               aNow - AwaitedSince(aSearch) > kUnreachableAnswerTimeout;
   auto areUnreachable = [&](const std::vector<uint32_t>& aAgents) {
     return std::all_of(aAgents.begin(), aAgents.end(), aIsUnreachable);
   };
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -36,8 +36,8 @@
   std::vector<std::vector<uint8_t>> m_heldPackets;
   /** Time since the search started. */
   Duration m_elapsed{ 0 };
-  /** Agents that neither confirmed nor denied the flow, if the action is Lost
-   * or GiveUp. */
+  /** Agents that neither confirmed nor denied the flow, or were not queried, if
+   * the action is Lost or GiveUp. */
   std::vector<uint32_t> m_unanswered;
 };
 
@@ -47,17 +47,20 @@
 /** The agents that a search covers. */
 struct SearchScope
 {
+  /** The agents that are likely to have the flow. */
   std::vector<uint32_t> m_agents;
+  /** All other agents that may have it; queried if m_agents have no result. */
+  std::vector<uint32_t> m_others;
   /** No other agent can have the flow. */
   bool m_isComplete = false;
 };
 
 /**
- * Finds the agents of flows that are missing from a balancer's flow table. All
- * agents of the flow's service are queried at once. Agents that answer
- * Possible, because they started after their servers, become candidates and get
- * the held packets. The flow's server answers the caller, so its agent answers
- * a second query with Yes; other servers bounce the packets.
+ * Finds the agents of flows that are missing from a balancer's flow table. The
+ * likely agents are queried at once, then all others at once. Agents that
+ * answer Possible, because they started after their servers, become candidates
+ * and get the held packets. The flow's server answers the caller, so its agent
+ * answers a second query with Yes; other servers bounce the packets.
  */
 class FlowSearches
 {
@@ -103,9 +106,14 @@
   struct Search
   {
     TimePoint m_startedAt;
+    /** Time of the query to m_others; m_startedAt before it. */
+    TimePoint m_othersQueriedAt;
     uint32_t m_ack = 0;
     bool m_isComplete = false;
     bool m_wasQueriedAgain = false;
+    bool m_wereOthersQueried = false;
+    /** As SearchScope::m_others. */
+    std::vector<uint32_t> m_others;
     /** Agents that have not answered yet. */
     std::vector<uint32_t> m_unanswered;
     /** Candidates that have not got the packets yet. */
@@ -127,10 +135,15 @@
   SearchStep Advance(TimePoint aNow, Searches::iterator aFound);
   static SearchStep Query(Searches::iterator aFound,
                           const std::vector<uint32_t>& aAgents);
+  SearchStep QueryOthers(TimePoint aNow, Searches::iterator aFound);
+  /** True if the limit allows that many further outstanding answers. */
+  bool MayAwait(size_t aAnswers) const;
   SearchStep CheckCandidates(TimePoint aNow, Searches::iterator aFound);
   SearchStep OnTimer(TimePoint aNow,
                      Searches::iterator aFound,
                      const AgentPredicate& aIsUnreachable);
+  /** Time of the first query to the agents whose answers are outstanding. */
+  static TimePoint AwaitedSince(const Search& aSearch);
   static bool IsOnlyAwaitingUnreachable(TimePoint aNow,
                                         const Search& aSearch,
                                         const AgentPredicate& aIsUnreachable);
--- a/test/correctness/LostFlowResets.cpp
+++ b/test/correctness/LostFlowResets.cpp
@@ -12,7 +12,7 @@
 /** Balancers that reset lost flows, and flows with running requests. */
 struct LongFlows
 {
-  explicit LongFlows(int aServers = 8, int aFlows = 1)
+  explicit LongFlows(int aServers = 8, int aFlows = 1, int aOtherServers = 0)
   {
     m_net.m_resetsLostFlows = true;
     m_net.m_requestTime = Seconds(30);
@@ -23,6 +23,9 @@
     for (int i = 0; i < aServers; ++i) {
       m_servers.push_back(m_net.AddServer("desk", "a", 100));
     }
+    for (int i = 0; i < aOtherServers; ++i) {
+      m_servers.push_back(m_net.AddServer("images", "a", 100));
+    }
     m_net.SetRoutes({ { "r", kLookups, { { "desk", 1 } }, 1, {} } });
     m_net.RunFor(Seconds(12));
     for (int i = 0; i < aFlows; ++i) {
@@ -123,6 +126,24 @@
   }
 }
 
+// Guards against callers that wait longer because the agents of all services
+// are asked before a reset.
+Test(LostFlowResets, EndTheWaitAsSoonBesideOtherServices)
+{
+  constexpr int kServers = 40;
+  constexpr int kFlows = 400;
+  constexpr Duration kHeard = Milliseconds(900);
+  for (bool doBalancersRestart : { true, false }) {
+    LongFlows site(kServers, kFlows, kServers / 4);
+    Duration longest = site.LongestSilence(doBalancersRestart, false);
+    cr_assert_eq(site.ResetCount(), kFlows);
+    cr_log_info("longest silence %ld us, %lu queries",
+                longest.count(),
+                site.m_net.QueryCount());
+    cr_assert_leq(longest, kHeard + Seconds(1));
+  }
+}
+
 // Guards against resets of flows at a living server, whose agent answers after
 // the balancers have remembered the search as undecided, and against queries to
 // agents that have denied the flow.
