Do not take a route that a balancer does not know for a dropped one

Cause: a packet of an open flow whose address has no route was reset at once. Another balancer may have a newer version with the route, and a process that has just started got back packets that its earlier process had forwarded before it had any routes. Found by checking each reset against docs/design/proof-of-loss.md. Change: without a route, a flow is reset at once only if this process has seen a version that has the route and a newer one that has not. Otherwise it is searched for at all agents, and reset when all deny it. SYN packets are refused as before. Result: MovedRoutes::AFlowWithoutARouteIsSearchedFor and AReturnedPacketIsDroppedBeforeTheRoutesAreLoaded failed before and pass.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -129,13 +129,8 @@
     return m_steps;
   }
   const Route* route = m_routes->Find(key.m_service);
-  if (!route) {
-    // Answering a reset with a reset could loop forever.
-    AddStep(aHeader.Has(kReset) ? FlowBalancerAction::Drop
-                                : FlowBalancerAction::Reset,
-            FlowReason::NoRoute,
-            key,
-            aHeader.m_ack);
+  if ((aHeader.IsSyn() && !route) || IsRouteDropped(key.m_service)) {
+    RefuseUnrouted(aHeader);
     return m_steps;
   }
   Flow* flow = m_flows.Find(key);
@@ -171,6 +166,26 @@
   return m_steps;
 }
 
+// A version that this process has seen had the route, and a newer one has not.
+// If it has seen neither, another balancer may have a newer version with the
+// route.
+bool
+FlowBalancer::IsRouteDropped(const Endpoint& aAddress)
+{
+  return !m_routes->Find(aAddress) && m_earlierServices.Find(aAddress);
+}
+
+// Answering a reset with a reset could loop forever.
+void
+FlowBalancer::RefuseUnrouted(const PacketHeader& aHeader)
+{
+  AddStep(aHeader.Has(kReset) ? FlowBalancerAction::Drop
+                              : FlowBalancerAction::Reset,
+          FlowReason::NoRoute,
+          aHeader.FlowFromCaller(),
+          aHeader.m_ack);
+}
+
 FlowBalancer::Flow
 FlowBalancer::NewFlow(uint32_t aSeq)
 {
@@ -293,9 +308,13 @@
   m_steps.clear();
   AccountForPause(aNow);
   FlowKey key = aHeader.FlowFromCaller();
-  const Route* route = m_routes ? m_routes->Find(key.m_service) : nullptr;
-  if (!route) {
-    AddStep(FlowBalancerAction::Reset, FlowReason::NoRoute, key, aHeader.m_ack);
+  if (!m_routes) {
+    AddStep(FlowBalancerAction::Drop, FlowReason::NotYetLoaded, key);
+    return m_steps;
+  }
+  const Route* route = m_routes->Find(key.m_service);
+  if ((aHeader.IsSyn() && !route) || IsRouteDropped(key.m_service)) {
+    RefuseUnrouted(aHeader);
     return m_steps;
   }
   Flow* flow = m_flows.Find(key);
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -217,6 +217,10 @@
   void RefuseFlow(TimePoint aNow,
                   const PacketHeader& aHeader,
                   const std::string& aService);
+  /** True if the routes do not have an address that they had before. */
+  bool IsRouteDropped(const Endpoint& aAddress);
+  /** Resets a flow without a route. */
+  void RefuseUnrouted(const PacketHeader& aHeader);
   /** aDenyingIp is the agent that denied the flow just now, or 0. */
   void SearchFor(TimePoint aNow,
                  const PacketHeader& aHeader,
--- a/test/correctness/MovedRoutes.cpp
+++ b/test/correctness/MovedRoutes.cpp
@@ -139,16 +139,36 @@
   cr_assert_eq(site.m_forwardedTo, kOtherAgent);
 }
 
-// Guards against callers that wait for a flow that no server has.
-Test(MovedRoutes, AFlowThatAllAgentsDenyIsResetAtOnce)
+// Guards against a reset of a flow whose route is in a newer version than this
+// balancer has.
+Test(MovedRoutes, AFlowWithoutARouteIsSearchedFor)
 {
   SearchingBalancer site;
-  site.m_balancer.SetRoutes(RoutesTo(1, { "desk-next" }));
+  site.m_balancer.SetRoutes(RoutesTo(1, {}));
   site.SendPacket();
-  site.Answer(kCurrentAgent, FlowOwnership::No);
   cr_assert_eq(site.m_resets, 0);
-  site.Answer(kOtherAgent, FlowOwnership::No);
-  cr_assert_eq(site.m_resets, 1);
+  site.Answer(kCurrentAgent, FlowOwnership::No);
+  site.Answer(kOtherAgent, FlowOwnership::Yes);
+  cr_assert_eq(site.m_forwardedTo, kOtherAgent);
+  // The flow is known now.
+  site.m_forwardedTo = 0;
+  site.SendPacket();
+  cr_assert_eq(site.m_forwardedTo, kOtherAgent);
+}
+
+// Guards against callers that wait for a flow that no server has.
+Test(MovedRoutes, AFlowThatAllAgentsDenyIsResetAtOnce)
+{
+  for (const std::vector<std::string>& services :
+       { std::vector<std::string>{ "desk-next" }, {} }) {
+    SearchingBalancer site;
+    site.m_balancer.SetRoutes(RoutesTo(1, services));
+    site.SendPacket();
+    site.Answer(kCurrentAgent, FlowOwnership::No);
+    cr_assert_eq(site.m_resets, 0);
+    site.Answer(kOtherAgent, FlowOwnership::No);
+    cr_assert_eq(site.m_resets, 1);
+  }
 }
 
 // Guards against searches for flows that the operator has ended.
@@ -181,3 +201,19 @@
   cr_assert(site.m_queried.contains(kNewAgent));
   cr_assert_eq(site.m_resets, 1);
 }
+
+// Guards against a reset by a balancer that has just restarted and gets back a
+// packet that its earlier process forwarded.
+Test(MovedRoutes, AReturnedPacketIsDroppedBeforeTheRoutesAreLoaded)
+{
+  FlowBalancer balancer("a", 1);
+  PacketHeader header = SynPacket();
+  header.m_flags = kAck;
+  std::vector<uint8_t> bytes(8);
+  const auto& steps = balancer.OnReturnedPacket(TimePoint(Seconds(100)),
+                                                header,
+                                                bytes,
+                                                kCurrentAgent,
+                                                ReturnReason::NotOwner);
+  cr_assert(steps.front().m_action == FlowBalancerAction::Drop);
+}
