A return for another reason than the flow is no denial

Cause: when an agent returned a packet because it has another service than the balancer believes, the balancer left this agent out of its search, and the others' denials led to a reset. The balancer's entry of the agent can be outdated while the agent's server has the flow. Change: only the reasons not-owner and bounced count as a denial. An agent accepts packets of flows in its table whatever service they are meant for, so that a balancer with an outdated entry reaches them.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -121,14 +121,17 @@
                             uint32_t aBalancerIp)
 {
   AccountForPause(aNow);
-  if (aHeader.m_tag != m_serviceTag) {
+  FlowKey key = aHeader.FlowFromCaller();
+  Flow* flow = m_flows.Find(key);
+  // A balancer can still have the entry of an earlier agent at this address.
+  // For a flow that is in the table it makes no difference.
+  bool isForOther = aHeader.m_tag != m_serviceTag;
+  if (isForOther && (aHeader.IsSyn() || !flow)) {
     return ReturnPacket(ReturnReason::WrongService, aBalancerIp);
   }
   if (aHeader.IsSyn()) {
     return OnSyn(aNow, aHeader, aBytes, aBalancerIp);
   }
-  FlowKey key = aHeader.FlowFromCaller();
-  Flow* flow = m_flows.Find(key);
   if (!flow) {
     bool mayBeHere = MayHaveUntrackedFlows(aNow) && !m_bouncedFlows.Find(key);
     return mayBeHere ? AgentDecision{ FlowAgentAction::Deliver }
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -27,6 +27,14 @@
 /** Time without any report after which this balancer counts as disconnected. */
 constexpr Duration kIsolationTimeout = Milliseconds(700);
 
+/** True if an agent that returned a packet of a flow for this reason does not
+ * have the flow. */
+bool
+IsDenial(ReturnReason aReason)
+{
+  return aReason == ReturnReason::NotOwner || aReason == ReturnReason::Bounced;
+}
+
 SynMark
 MarkFor(const Route& aRoute, uint32_t aBusyLimit)
 {
@@ -325,7 +333,7 @@
     if (m_searches.Contains(key)) {
       ApplySearchStep(aNow, m_searches.OnReturned(aNow, key, aAgentIp, aBytes));
     } else {
-      SearchFor(aNow, aHeader, aBytes, aAgentIp);
+      SearchFor(aNow, aHeader, aBytes, IsDenial(aReason) ? aAgentIp : 0);
     }
     return m_steps;
   }
--- a/test/correctness/FlowOwnership.cpp
+++ b/test/correctness/FlowOwnership.cpp
@@ -128,6 +128,24 @@
             FlowAgentAction::Deliver);
 }
 
+// Guards against a flow that no balancer with an outdated entry of this agent
+// can reach, and against a SYN packet that reaches another service.
+Test(FlowOwnership, APacketForAnotherServiceIsReturnedUnlessItsFlowIsHere)
+{
+  AnsweredSyn syn;
+  PacketHeader packet = AnsweredSyn::FromCaller(kServerSeq + 1);
+  packet.m_tag = ServiceTag("earlier");
+  auto send = [&] {
+    return syn.m_agent.OnBalancerPacket(syn.m_now, packet, {}, kBalancer)
+      .m_reason;
+  };
+  cr_assert(send() == ReturnReason::None);
+  packet.m_source.m_port += 1;
+  cr_assert(send() == ReturnReason::WrongService);
+  packet.m_flags = kSyn;
+  cr_assert(send() == ReturnReason::WrongService);
+}
+
 // Guards against the loss of an open flow from the flow table because a full
 // server returned a late copy of its SYN packet.
 Test(FlowOwnership, AReturnedCopyOfTheSynPacketSaysNothingAboutTheFlow)
--- a/test/correctness/MovedRoutes.cpp
+++ b/test/correctness/MovedRoutes.cpp
@@ -202,6 +202,21 @@
   cr_assert_eq(site.m_resets, 1);
 }
 
+// Guards against a return for another reason than the flow counting as proof
+// that the flow is elsewhere. The balancer's entry of the agent is outdated.
+Test(MovedRoutes, AnAgentOfAnotherServiceHasNotDeniedTheFlow)
+{
+  SearchingBalancer site;
+  site.m_balancer.SetRoutes(RoutesTo(1, { "desk-next" }));
+  PacketHeader header = SynPacket();
+  header.m_flags = kAck;
+  header.m_ack = kAckNumber;
+  std::vector<uint8_t> bytes(8);
+  site.Record(site.m_balancer.OnReturnedPacket(
+    site.m_now, header, bytes, kCurrentAgent, ReturnReason::WrongService));
+  cr_assert(site.m_queried.contains(kCurrentAgent));
+}
+
 // Guards against a reset by a balancer that has just restarted and gets back a
 // packet that its earlier process forwarded.
 Test(MovedRoutes, AReturnedPacketIsDroppedBeforeTheRoutesAreLoaded)
