Take a heartbeat for a server's start only if it is its first one

Cause: a heartbeat of any other incarnation counted as a start, and an agent that has seen its server start denies flows that it does not know. The same event is reported to balancers as a sign of a general restart. Change: a start needs sequence number 1 and a server that is not older than this process (2 s allowed). Another incarnation without that is accepted, and flows from before the process's start are "possible" again.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -25,8 +25,9 @@
 FlowAgent::FlowAgent(FlowAgentOptions aOptions, TimePoint aStart)
   : m_options(std::move(aOptions))
   , m_serviceTag(ServiceTag(m_options.m_service))
-  , m_untrackedUntil(aStart + m_options.m_maxFlowAge)
-  , m_server(m_options.m_heartbeatEvery)
+  , m_earlierFlowsUntil(aStart + m_options.m_maxFlowAge)
+  , m_untrackedUntil(m_earlierFlowsUntil)
+  , m_server(m_options.m_heartbeatEvery, m_options.m_processStartMs)
   , m_pause(kPauseThreshold)
   , m_startup(m_options.m_startup, aStart)
   , m_flows(m_options.m_maxFlows, m_startup)
@@ -523,18 +524,29 @@
   m_startup.OnHeartbeat(aNow, result, aHeartbeat.m_warmupLeft, wasSilent);
   if (result == HeartbeatResult::NewIncarnation) {
     m_untrackedUntil = aNow;
-    m_circuit.OnNewIncarnation();
-    if (m_startup.IsPaceOn()) {
-      m_flows.ReleaseRequests(aNow);
-      m_flowLimit = {};
-      m_answerUs = 0;
-      m_answerCount = 0;
-    }
+    OnIncarnationChange(aNow);
     m_reports.OnServerStart(aNow);
+  } else if (result == HeartbeatResult::OtherIncarnation) {
+    // What was concluded from the earlier heartbeats is not true of this
+    // server.
+    m_untrackedUntil = std::max(m_untrackedUntil, m_earlierFlowsUntil);
+    OnIncarnationChange(aNow);
   }
   return result;
 }
 
+void
+FlowAgent::OnIncarnationChange(TimePoint aNow)
+{
+  m_circuit.OnNewIncarnation();
+  if (m_startup.IsPaceOn()) {
+    m_flows.ReleaseRequests(aNow);
+    m_flowLimit = {};
+    m_answerUs = 0;
+    m_answerCount = 0;
+  }
+}
+
 void
 FlowAgent::OnSubscribe(TimePoint aNow,
                        uint32_t aBalancerIp,
--- a/packages/flow/FlowAgent.h
+++ b/packages/flow/FlowAgent.h
@@ -59,6 +59,8 @@
   Endpoint m_packets;
   /** Interval of the server's heartbeats. */
   Duration m_heartbeatEvery = Seconds(1);
+  /** Start of this process, as Unix time in milliseconds. */
+  uint64_t m_processStartMs = 0;
   /** Maximum lifetime of a flow. */
   Duration m_maxFlowAge = Seconds(60);
   /** Maximum number of flows per generation of the flow table. */
@@ -201,6 +203,8 @@
   void RecordRequest(TimePoint aNow, Flow& aFlow);
   void RecordAnswer(TimePoint aNow, const Flow& aFlow);
   void RecordReset(TimePoint aNow, const Flow& aFlow);
+  /** Handles the first heartbeat of an incarnation after another one. */
+  void OnIncarnationChange(TimePoint aNow);
   AgentDecision OnBounced(TimePoint aNow, const PacketHeader& aHeader);
   /** Why no new flow may reach the server; None if it may. */
   ReturnReason RefusalOfNewFlows(TimePoint aNow) const;
@@ -230,8 +234,10 @@
 
   FlowAgentOptions m_options;
   uint32_t m_serviceTag;
-  /** Time until which flows may be open that this agent has not seen from their
-   * first packet on. */
+  /** Time until which flows may be open that were opened before this process
+   * started. */
+  TimePoint m_earlierFlowsUntil;
+  /** Time until which flows may be open that are missing from the table. */
   TimePoint m_untrackedUntil;
   ServerTracker m_server;
   PauseDetector m_pause;
--- a/packages/flow/ServerStartup.cpp
+++ b/packages/flow/ServerStartup.cpp
@@ -57,7 +57,8 @@
   m_coldUntil =
     aWarmupLeft > Duration(0) ? aNow + aWarmupLeft + kColdMargin : aNow;
   bool endsSilence = EndsSilence(aNow, aWasSilent);
-  if (aResult == HeartbeatResult::NewIncarnation) {
+  if (aResult == HeartbeatResult::NewIncarnation ||
+      aResult == HeartbeatResult::OtherIncarnation) {
     Begin(aNow, RampReason::Start, !isFirst);
   } else if (isFirst) {
     // The agent started beside a running server. Its predecessor may have
--- a/packages/flow/ServerTracker.cpp
+++ b/packages/flow/ServerTracker.cpp
@@ -6,6 +6,9 @@
 
 /** Sequence number of the first heartbeat of an incarnation. */
 constexpr uint64_t kFirstSequence = 1;
+/** Time by which a server can start before its agent when both start at once.
+ */
+constexpr Milliseconds kStartSpread{ 2000 };
 
 } // namespace
 
@@ -29,16 +32,32 @@
   }
   // An incarnation cannot leave the draining state.
   bool wasDraining = isSame && m_latest->m_isDraining;
-  // If the first heartbeat of a server is received here, it has no flows that
-  // this agent has not seen.
-  bool isTrackedFromStart = m_latest || aHeartbeat.m_sequence <= kFirstSequence;
+  bool isFirstKnown = !m_latest;
   m_latest = aHeartbeat;
   m_latest->m_isDraining = aHeartbeat.m_isDraining || wasDraining;
   m_lastContact = aNow;
   m_isGone = false;
   m_isSilent = false;
-  return isSame || !isTrackedFromStart ? HeartbeatResult::Accepted
-                                       : HeartbeatResult::NewIncarnation;
+  if (isSame) {
+    return HeartbeatResult::Accepted;
+  }
+  if (IsFirstOfNewServer(aHeartbeat)) {
+    return HeartbeatResult::NewIncarnation;
+  }
+  return isFirstKnown ? HeartbeatResult::Accepted
+                      : HeartbeatResult::OtherIncarnation;
+}
+
+// Such a server has no flows that this process has not seen. That another
+// incarnation was known before is no proof: its heartbeat may have been delayed
+// until after the present server, and then this process, had started. The same
+// is true of a first heartbeat, hence the comparison of the start times.
+bool
+ServerTracker::IsFirstOfNewServer(const ServerHeartbeat& aHeartbeat) const
+{
+  auto spread = static_cast<uint64_t>(kStartSpread.count());
+  return aHeartbeat.m_sequence <= kFirstSequence &&
+         aHeartbeat.m_startMs + spread >= m_processStartMs;
 }
 
 void
--- a/packages/flow/ServerTracker.h
+++ b/packages/flow/ServerTracker.h
@@ -26,13 +26,18 @@
 enum class HeartbeatResult : uint8_t
 {
   Accepted,
-  NewIncarnation, /**< Accepted; the server has restarted. */
-  Outdated,       /**< From an earlier incarnation, or out of order. */
+  /** Accepted; the server has started since this process did. */
+  NewIncarnation,
+  /** Accepted; another incarnation than before, which may have started before
+   * this process. */
+  OtherIncarnation,
+  Outdated, /**< From an earlier incarnation, or out of order. */
 };
 
-inline constexpr NameTable<HeartbeatResult, 3> kHeartbeatResultNames = { {
+inline constexpr NameTable<HeartbeatResult, 4> kHeartbeatResultNames = { {
   { HeartbeatResult::Accepted, "accepted" },
   { HeartbeatResult::NewIncarnation, "new-incarnation" },
+  { HeartbeatResult::OtherIncarnation, "other-incarnation" },
   { HeartbeatResult::Outdated, "outdated" },
 } };
 
@@ -40,9 +45,12 @@
 class ServerTracker
 {
 public:
-  /** aHeartbeatInterval is the time between two heartbeats of the server. */
-  explicit ServerTracker(Duration aHeartbeatInterval)
+  /** aHeartbeatInterval is the time between two heartbeats of the server,
+   * aProcessStartMs the start of this process as Unix time in milliseconds. */
+  explicit ServerTracker(Duration aHeartbeatInterval,
+                         uint64_t aProcessStartMs = 0)
     : m_contactTimeout(aHeartbeatInterval * kMissedHeartbeats)
+    , m_processStartMs(aProcessStartMs)
   {
   }
 
@@ -75,7 +83,12 @@
   // the server silent.
   static constexpr int kMissedHeartbeats = 3;
 
+  /** True for the first heartbeat of a server that started after this process.
+   */
+  bool IsFirstOfNewServer(const ServerHeartbeat& aHeartbeat) const;
+
   Duration m_contactTimeout;
+  uint64_t m_processStartMs;
   std::optional<ServerHeartbeat> m_latest;
   TimePoint m_lastContact;
   bool m_isGone = false;
--- a/packages/flownode/AgentDaemon.cpp
+++ b/packages/flownode/AgentDaemon.cpp
@@ -29,6 +29,7 @@
   options.m_domain = aSettings.m_domain;
   options.m_packets = aSettings.m_packetListen;
   options.m_heartbeatEvery = aSettings.m_heartbeatEvery;
+  options.m_processStartMs = static_cast<uint64_t>(WallClockMs());
   options.m_maxFlowAge = aSettings.m_maxFlowAge;
   options.m_ejectsFailingServer = aSettings.m_ejectsFailingServer;
   options.m_startup = aSettings.m_startup;
--- a/packages/runtime/WallClock.h
+++ b/packages/runtime/WallClock.h
@@ -5,8 +5,9 @@
 
 namespace bilberryfield {
 
-/** The time of day in milliseconds since 1970. It can jump, so it only names
- * things: log lines and the starts of processes. */
+/** The time of day in milliseconds since 1970. It can jump, so it names things,
+ * such as log lines and the starts of processes, and is never the only sign of
+ * their order. */
 inline uint64_t
 WallClockMs()
 {
--- a/test/correctness/FlowOwnership.cpp
+++ b/test/correctness/FlowOwnership.cpp
@@ -16,7 +16,7 @@
 {
   explicit AnsweredSyn(uint64_t aFirstHeartbeat = 1,
                        const FlowAgentOptions& aOptions = Options())
-    : m_agent(aOptions, m_now)
+    : AnsweredSyn(aOptions)
   {
     Heartbeat(aFirstHeartbeat);
     PacketHeader syn = SynPacket();
@@ -25,6 +25,12 @@
     AnswerSyn(kServerSeq);
   }
 
+  /** No SYN packet yet, and no heartbeat. */
+  explicit AnsweredSyn(const FlowAgentOptions& aOptions)
+    : m_agent(aOptions, m_now)
+  {
+  }
+
   static FlowAgentOptions Options()
   {
     FlowAgentOptions options;
@@ -231,6 +237,27 @@
             FlowAgentAction::Return);
 }
 
+// Guards against the reset of flows that were opened before the agent started,
+// because it took their server for one that had started later.
+Test(FlowOwnership, ALateHeartbeatIsNoProofOfAStart)
+{
+  FlowAgentOptions options = AnsweredSyn::Options();
+  options.m_processStartMs = 60'000;
+  for (uint64_t lateSequence : { 1U, 7U }) {
+    AnsweredSyn syn(options);
+    FlowKey open{ { 0x64400002, 1024 }, kDeskAddress };
+    auto query = [&] {
+      return syn.m_agent.OnQuery(syn.m_now, { open, 5 }).m_ownership;
+    };
+    syn.Heartbeat(lateSequence, 20'000);
+    cr_assert(query() == FlowOwnership::Possible);
+    syn.Heartbeat(12, 40'000);
+    cr_assert(query() == FlowOwnership::Possible);
+    syn.Heartbeat(1, 70'000);
+    cr_assert(query() == FlowOwnership::No);
+  }
+}
+
 // A server that restarted during the handshake answers a copy of the SYN packet
 // with other numbers.
 Test(FlowOwnership, ANewSynAnswerReplacesTheServersNumbers)
--- a/test/correctness/ServerIncarnations.cpp
+++ b/test/correctness/ServerIncarnations.cpp
@@ -68,6 +68,23 @@
             HeartbeatResult::Accepted);
 }
 
+// Guards against an agent that takes a running server for one that has just
+// started, because the delayed heartbeat of an earlier server came first.
+Test(ServerIncarnations, AServerAfterALateHeartbeatIsNotReportedAsNew)
+{
+  constexpr uint64_t kProcessStartMs = 60'000;
+  for (uint64_t lateSequence : { 1U, 7U }) {
+    ServerTracker tracker(kHeartbeatInterval, kProcessStartMs);
+    cr_assert(
+      tracker.OnHeartbeat(kStart, Heartbeat("old", 20'000, lateSequence)) ==
+      HeartbeatResult::Accepted);
+    cr_assert(tracker.OnHeartbeat(kStart, Heartbeat("s", 40'000, 12)) ==
+              HeartbeatResult::OtherIncarnation);
+    cr_assert(tracker.OnHeartbeat(kStart, Heartbeat("next", 61'000, 1)) ==
+              HeartbeatResult::NewIncarnation);
+  }
+}
+
 // The wall clock may have jumped back between two starts.
 Test(ServerIncarnations, AnEarlierStartTimeIsAcceptedOnceTheOtherIsSilent)
 {
