Read each of the store's objects by itself

Cause: the answer to a listing or a watch was parsed as one document, so that one entry of another writer that is nested too deeply, has a number too large or is not UTF-8 hid all others: a balancer that started knew no agent, one that ran stopped following the kind. An entry with port 0, or under another name than its address, was taken for an agent's. An entry of an agent needs a possible address and its name.

--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -13,15 +13,13 @@
 
 } // namespace
 
-// The entry is named after the IP address, so that a new agent on a VM replaces
-// the entry of the previous one.
 AgentRegistrar::AgentRegistrar(EventLoop& aLoop,
                                StoreClient& aStore,
                                AgentEntry aEntry)
   : m_loop(aLoop)
   , m_store(aStore)
   , m_entry(std::move(aEntry))
-  , m_entryName(IpToText(m_entry.m_packets.m_ip))
+  , m_entryName(EntryName(m_entry))
 {
 }
 
--- /dev/null
+++ b/test/error/OddEntries.cpp
@@ -0,0 +1,210 @@
+#include "AgentEntryCodec.h"
+#include "Codec.h"
+#include "FlowCodec.h"
+#include "FlowSettings.h"
+#include "HeartbeatCodec.h"
+#include "HttpServer.h"
+#include "OperatorConfig.h"
+#include "PeerSync.h"
+#include "StoreClient.h"
+#include "WaitForStore.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace bilberryfield;
+
+namespace {
+
+constexpr int kDeep = 200'000;
+
+std::string
+Nested()
+{
+  return std::string(kDeep, '[') + std::string(kDeep, ']');
+}
+
+/** Values that another writer may have put where a reader expects another one,
+ * or where no reader looks. */
+std::vector<std::string>
+OddValues()
+{
+  return { Nested(),
+           "1e999",
+           "-1e999",
+           "123456789012345678901234567890",
+           "\"\xff\xfe\"",
+           std::string("\"\x01\"", 3),
+           "\"\\ud800\"",
+           "null",
+           "{}" };
+}
+
+std::string
+AgentEntryText(const std::string& aIp, const std::string& aOdd = "")
+{
+  std::string more = aOdd.empty() ? "" : ",\"more\":" + aOdd;
+  return R"({"service":"desk","failure_domain":"a","packets":")" + aIp +
+         ":8000\"" + more + "}";
+}
+
+std::string
+ObjectText(const std::string& aName, const std::string& aContent)
+{
+  return R"({"meta":{"name":")" + aName +
+         R"(","revision":3,"finalizers":[]},"spec":)" + aContent +
+         R"(,"status":null})";
+}
+
+/** A store that gives the same answer to each call. */
+class AnsweringStore
+{
+public:
+  explicit AnsweringStore(std::string aAnswer)
+    : m_answer(std::move(aAnswer))
+    , m_server({ 1 },
+               [this](const HttpIncoming&, const HttpReply& aReply) {
+                 aReply({ 200, {}, "application/json", m_answer });
+               })
+    , m_port(*m_server.Start("127.0.0.1:0"))
+    , m_client("127.0.0.1:" + std::to_string(m_port))
+  {
+  }
+
+  Result<StoreListing> List()
+  {
+    return WaitForStore<StoreListing>(
+      [&](auto aOnEnd) { m_client.List("bilberry-agents", aOnEnd); });
+  }
+
+  Result<StoreChanges> Watch()
+  {
+    return WaitForStore<StoreChanges>([&](auto aOnEnd) {
+      m_client.Watch("bilberry-agents", { 0, 1 }, Milliseconds(1), aOnEnd);
+    });
+  }
+
+private:
+  std::string m_answer;
+  HttpServer m_server;
+  uint16_t m_port;
+  StoreClient m_client;
+};
+
+std::string
+ListingOf(const std::vector<std::string>& aObjects)
+{
+  std::string items;
+  for (const std::string& object : aObjects) {
+    items += (items.empty() ? "" : ",") + object;
+  }
+  return R"({"items":[)" + items + R"(],"more":false,"at":7})";
+}
+
+std::string
+ChangesOf(const std::vector<std::string>& aObjects)
+{
+  std::string events;
+  for (const std::string& object : aObjects) {
+    events += (events.empty() ? "" : ",");
+    events += R"({"object":)" + object + R"(,"removed":false})";
+  }
+  return R"({"events":[)" + events + R"(],"at":7})";
+}
+
+/** Addresses of the entries that name an agent. */
+std::vector<std::string>
+AgentsIn(const std::vector<StoreObject>& aObjects)
+{
+  std::vector<std::string> agents;
+  for (const StoreObject& object : aObjects) {
+    if (auto entry = ParseAgentEntry(object.m_name, object.m_content)) {
+      agents.push_back(IpToText(entry->m_packets.m_ip));
+    }
+  }
+  return agents;
+}
+
+/** Objects with an odd one between two of living agents. */
+std::vector<std::string>
+WithOddObject(const std::string& aOdd)
+{
+  return { ObjectText("10.0.0.1", AgentEntryText("10.0.0.1")),
+           aOdd,
+           ObjectText("10.0.0.3", AgentEntryText("10.0.0.3")) };
+}
+
+std::vector<std::string>
+OddObjects()
+{
+  std::vector<std::string> objects;
+  for (const std::string& odd : OddValues()) {
+    objects.push_back(ObjectText("10.0.0.2", odd));
+    objects.push_back(ObjectText("odd", AgentEntryText("10.0.0.2", odd)));
+    objects.push_back(R"({"meta":{"name":"odd","revision":)" + odd +
+                      R"(},"spec":{}})");
+    objects.push_back(R"({"meta":{"name":)" + odd + R"(},"spec":{}})");
+    objects.push_back(R"({"meta":)" + odd + "}");
+    objects.push_back(odd);
+  }
+  return objects;
+}
+
+} // namespace
+
+// Guards against a balancer that knows no agent, because one entry in the
+// store's list cannot be read.
+Test(OddEntries, AListKeepsTheOtherEntries)
+{
+  for (const std::string& odd : OddObjects()) {
+    AnsweringStore store(ListingOf(WithOddObject(odd)));
+    Result<StoreListing> listing = store.List();
+    cr_assert(listing.has_value(), "%.80s", odd.c_str());
+    cr_assert_eq(listing->m_position.m_revision, 7);
+    cr_assert(AgentsIn(listing->m_objects) ==
+                std::vector<std::string>({ "10.0.0.1", "10.0.0.3" }),
+              "%.80s",
+              odd.c_str());
+  }
+}
+
+// Guards against a balancer that stops following the store, because one
+// change cannot be read.
+Test(OddEntries, AWatchKeepsTheOtherChanges)
+{
+  for (const std::string& odd : OddObjects()) {
+    AnsweringStore store(ChangesOf(WithOddObject(odd)));
+    Result<StoreChanges> changes = store.Watch();
+    cr_assert(changes.has_value(), "%.80s", odd.c_str());
+    std::vector<StoreObject> objects;
+    for (const StoreChange& change : changes->m_changes) {
+      objects.push_back(change.m_object);
+    }
+    cr_assert(AgentsIn(objects) ==
+                std::vector<std::string>({ "10.0.0.1", "10.0.0.3" }),
+              "%.80s",
+              odd.c_str());
+  }
+}
+
+// Guards against packets and subscriptions to addresses that no agent
+// has.
+Test(OddEntries, AnEntryWithAnImpossibleAddressNamesNoAgent)
+{
+  for (const char* packets : { "10.0.0.2:70000",
+                               "10.0.0.2:0",
+                               "10.0.0.2:-1",
+                               "10.0.0.2:",
+                               "10.0.0.2",
+                               "0.0.0.0:8000",
+                               "300.0.0.2:8000" }) {
+    std::string text = R"({"service":"desk","failure_domain":"a","packets":")" +
+                       std::string(packets) + "\"}";
+    cr_assert_not(ParseAgentEntry("10.0.0.2", text).has_value(), "%s", packets);
+  }
+  // An entry is named after its agent. Under another name it could
+  // replace the entry of a living agent.
+  std::string text = AgentEntryText("10.0.0.2");
+  cr_assert(ParseAgentEntry("10.0.0.2", text).has_value());
+  cr_assert_not(ParseAgentEntry("10.0.0.9", text).has_value());
+}
