--- a/test/error/OddEntries.cpp
+++ b/test/error/OddEntries.cpp
@@ -208,3 +208,26 @@
   cr_assert(ParseAgentEntry("10.0.0.2", text).has_value());
   cr_assert_not(ParseAgentEntry("10.0.0.9", text).has_value());
 }
+
+// Guards against a configuration that is not in force, because a part of
+// it that concerns one route cannot be read.
+Test(OddEntries, AConfigurationKeepsTheOtherRoutes)
+{
+  std::string good =
+    R"({"name":"r","host":"198.18.0.1","path-prefix":"/443/","service":"desk"})";
+  for (const std::string& odd : OddValues()) {
+    for (const std::string& route : std::vector<std::string>{
+           odd,
+           R"({"name":"odd","host":)" + odd + "}",
+           R"({"name":"odd","host":"198.18.0.2","path-prefix":"/70000/",)"
+           R"("service":"desk"})" }) {
+      std::string text = R"({"version":4,"new":)" + odd + R"(,"routes":[)" +
+                         route + "," + good + R"(],"services":[)" + odd +
+                         R"(],"limits":)" + odd + "}";
+      Result<OperatorConfig> config = DecodeOperatorConfig(text);
+      cr_assert(config.has_value(), "%.80s", odd.c_str());
+      cr_assert_eq(config->m_table.m_version, 4);
+      cr_assert_eq(config->m_table.m_routes.size(), 1);
+    }
+  }
+}
