--- a/test/error/OddEntries.cpp
+++ b/test/error/OddEntries.cpp
@@ -231,3 +231,25 @@
     }
   }
 }
+
+// Guards against overflows in times that are derived from a heartbeat,
+// and against a start time that makes all later heartbeats look outdated.
+Test(OddEntries, AHeartbeatOutOfRangeIsRejected)
+{
+  auto decode = [](const std::string& aBorn, const std::string& aWarmup) {
+    return DecodeHeartbeat(
+      "s",
+      R"({"service":"desk","address":"10.0.0.1:80","slots":2,"state":"ready",)"
+      R"("seq":1,"born":)" +
+        aBorn + R"(,"warmup-left-ms":)" + aWarmup + "}");
+  };
+  cr_assert(decode("1700000000000", "2500").has_value());
+  for (const std::string& odd : OddValues()) {
+    cr_assert_not(decode(odd, "0").has_value(), "%.80s", odd.c_str());
+    cr_assert_not(
+      decode("1700000000000", odd).has_value(), "%.80s", odd.c_str());
+  }
+  cr_assert_not(decode("18446744073709551615", "0").has_value());
+  cr_assert_not(decode("1700000000000", "9223372036854775807").has_value());
+  cr_assert_not(decode("1700000000000", "-1").has_value());
+}
