--- a/packages/flownode/PeerSync.cpp
+++ b/packages/flownode/PeerSync.cpp
@@ -77,10 +77,13 @@
     snapshot.m_evacuations = DecodeEvacuations(fields);
     for (const json& item : fields.at("agents")) {
       Result<AgentEntry> entry = AgentEntryFromJson(aPeer, item);
-      if (!entry) {
-        return tl::unexpected(entry.error());
+      if (entry) {
+        snapshot.m_agents.push_back(std::move(*entry));
+        continue;
       }
-      snapshot.m_agents.push_back(std::move(*entry));
+      Log(LogLevel::Warning,
+          "agent-entry-rejected",
+          { { "peer", aPeer }, { "detail", entry.error().m_detail } });
     }
   } catch (const json::exception& error) {
     return Failure(Step::DecodeMessage, aPeer, error.what());
--- a/test/error/OddEntries.cpp
+++ b/test/error/OddEntries.cpp
@@ -253,3 +253,24 @@
   cr_assert_not(decode("1700000000000", "9223372036854775807").has_value());
   cr_assert_not(decode("1700000000000", "-1").has_value());
 }
+
+// Guards against a balancer that takes nothing from a peer, because one
+// entry in the peer's answer cannot be read.
+Test(OddEntries, ASnapshotKeepsTheOtherAgents)
+{
+  PeerSnapshot snapshot;
+  snapshot.m_agentsPosition = { 1, 3 };
+  snapshot.m_agents = { { "desk", "a", { 0x0A000001, 8000 } } };
+  std::string text = EncodeSnapshot(snapshot).dump();
+  size_t place = text.find("\"agents\":[") + std::string("\"agents\":[").size();
+  for (const char* odd : { "{}", "7", "null", "\"x\"" }) {
+    std::string mixed = text;
+    mixed.insert(place, std::string(odd) + ",");
+    Result<PeerSnapshot> decoded = DecodeSnapshot(mixed, "peer");
+    cr_assert(decoded.has_value(), "%s", odd);
+    cr_assert_eq(decoded->m_agents.size(), 1);
+  }
+  std::string nested = text;
+  nested.insert(place, Nested() + ",");
+  cr_assert_eq(DecodeSnapshot(nested, "peer")->m_agents.size(), 1);
+}
