Bound the nesting of CBOR messages

Datagrams are too short for it. Change: ParseCbor checks the depth of messages of more than 4 KiB first. Result: OddEntries::ADeeplyNestedMessageIsRejected crashed before and passes.

--- a/packages/peer/Codec.cpp
+++ b/packages/peer/Codec.cpp
@@ -31,7 +31,7 @@
 {
   try {
     JournalBatch batch;
-    FieldReader::Decode(json::from_cbor(aBytes), batch);
+    FieldReader::Decode(ParseCbor(aBytes), batch);
     return batch;
   } catch (const json::exception& error) {
     return Failure(Step::DecodeMessage, aKey, error.what());
--- a/packages/peer/FieldCodec.h
+++ b/packages/peer/FieldCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cbor.h"
 #include "Error.h"
 #include "ServiceConfig.h"
 #include "Time.h"
@@ -226,7 +227,7 @@
 DecodeVariant(std::string_view aBytes, const std::string& aPeer)
 {
   try {
-    nlohmann::json envelope = nlohmann::json::from_cbor(aBytes);
+    nlohmann::json envelope = ParseCbor(aBytes);
     return DecodeAlternative<Variant>(envelope.at(0).get<size_t>(),
                                       envelope.at(1));
   } catch (const nlohmann::json::exception& error) {
--- a/test/error/OddEntries.cpp
+++ b/test/error/OddEntries.cpp
@@ -274,3 +274,14 @@
   nested.insert(place, Nested() + ",");
   cr_assert_eq(DecodeSnapshot(nested, "peer")->m_agents.size(), 1);
 }
+
+// Guards against the end of a process by a message that is nested so
+// deeply that decoding it exhausts the stack.
+Test(OddEntries, ADeeplyNestedMessageIsRejected)
+{
+  constexpr char kArrayOfOne = '\x81';
+  std::string nested(20 * kDeep, kArrayOfOne);
+  cr_assert_not(DecodeMessage(nested, "peer").has_value());
+  cr_assert_not(DecodeFlowMessage(nested, "peer").has_value());
+  cr_assert_not(DecodeJournal(nested, "key").has_value());
+}
