Put deeply nested settings into an error without writing them out

Cause: the error text of a value of the wrong type holds an excerpt, which was written recursively; a deeply nested value ended the process. Change: the excerpt of such a value names its kind only. Result: OddEntries::SettingsWithANestedValueGiveAnError crashed before and passes.

--- a/packages/decision/JsonFields.cpp
+++ b/packages/decision/JsonFields.cpp
@@ -1,5 +1,6 @@
 #include "JsonFields.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 
@@ -7,11 +8,31 @@
 
 namespace {
 
+/** Levels of nesting that an excerpt shows. Writing a value takes a part of the
+ * stack for each level. */
+constexpr int kMaxExcerptDepth = 32;
+
+bool
+IsDeeperThan(const nlohmann::json& aValue, int aLevels)
+{
+  if (!aValue.is_structured()) {
+    return false;
+  }
+  return aLevels == 0 ||
+         std::any_of(aValue.begin(), aValue.end(), [&](const auto& aItem) {
+           return IsDeeperThan(aItem, aLevels - 1);
+         });
+}
+
 std::string
 Excerpt(const nlohmann::json& aValue)
 {
   constexpr size_t kMaxExcerptBytes = 60;
-  std::string text = aValue.dump();
+  if (IsDeeperThan(aValue, kMaxExcerptDepth)) {
+    return "a deeply nested " + std::string(aValue.type_name());
+  }
+  std::string text =
+    aValue.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return text.size() <= kMaxExcerptBytes
            ? text
            : text.substr(0, kMaxExcerptBytes) + "...";
--- a/test/error/OddEntries.cpp
+++ b/test/error/OddEntries.cpp
@@ -285,3 +285,13 @@
   cr_assert_not(DecodeFlowMessage(nested, "peer").has_value());
   cr_assert_not(DecodeJournal(nested, "key").has_value());
 }
+
+// Guards against the end of a process whose settings hold an odd value,
+// while the error is put into words.
+Test(OddEntries, SettingsWithANestedValueGiveAnError)
+{
+  std::string text = R"({"role":"packet-agent","id":)" + Nested() +
+                     R"(,"seeds":)" + Nested() + "}";
+  FlowSettingsParse settings = ParseFlowSettings(nlohmann::json::parse(text));
+  cr_assert_not(settings.has_value());
+}
