Take an agent's entry for uncertain after a write without an answer

Cause: when the removal of an entry took effect but its answer was lost, the agent still took the entry for present. Its server came back, the entry was not written again, and a balancer that started then had a list without a living agent, which counts as complete: the denials of the others reset that agent's flows. Change: after a write without an answer the state is uncertain, and the wanted state is written again, whichever it is. An agent that withdraws an entry of an earlier start is uncertain too, instead of sure that it is present. Result: UnansweredWrites::AnEntryIsWrittenAgainWhenItsServerReturns failed before and passes. Until the lost call times out (1.5 s) the entry is still missing.

--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -37,7 +37,7 @@
 AgentRegistrar::OnEntryMissing()
 {
   if (m_isDesired && m_storedState == EntryState::Present) {
-    m_storedState = EntryState::Unknown;
+    m_storedState = EntryState::Uncertain;
     Reconcile();
   }
 }
@@ -48,7 +48,7 @@
 AgentRegistrar::Withdraw()
 {
   if (m_storedState == EntryState::Unknown) {
-    m_storedState = EntryState::Present;
+    m_storedState = EntryState::Uncertain;
   }
   m_isDesired = false;
   Reconcile();
@@ -64,7 +64,9 @@
     m_isWriting = true;
     return Create();
   }
-  if (!m_isDesired && m_storedState == EntryState::Present) {
+  bool mayBePresent = m_storedState == EntryState::Present ||
+                      m_storedState == EntryState::Uncertain;
+  if (!m_isDesired && mayBePresent) {
     m_isWriting = true;
     return Remove();
   }
@@ -109,7 +111,7 @@
                       OnWriteFinished("agent-entry-replaced",
                                       write,
                                       isStored ? EntryState::Present
-                                               : EntryState::Unknown);
+                                               : EntryState::Uncertain);
                     });
                   });
 }
@@ -131,6 +133,8 @@
 {
   m_isWriting = false;
   if (!aWrite) {
+    // The write may have taken effect all the same.
+    m_storedState = EntryState::Uncertain;
     return RetryLater(aWrite.error());
   }
   Log(LogLevel::Info, aEvent, { { "name", m_entryName } });
--- a/packages/flownode/AgentRegistrar.h
+++ b/packages/flownode/AgentRegistrar.h
@@ -33,10 +33,11 @@
   }
 
 private:
-  /** State of the entry in the store after the last completed write. */
+  /** State of the entry in the store, as far as this process knows. */
   enum class EntryState : uint8_t
   {
-    Unknown,
+    Unknown,   /**< As an earlier process has left it. */
+    Uncertain, /**< A write had no answer, or the entry was found missing. */
     Present,
     Absent,
   };
