--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -476,7 +476,6 @@
   if (m_resetsLostFlows) {
     m_undecided.Remember(aStep.m_flow,
                          { aStep.m_ack,
-                           RoutesVersion(),
                            aNow - aStep.m_elapsed,
                            aNow,
                            std::move(aStep.m_unanswered) });
@@ -491,8 +490,7 @@
                             uint32_t aAck,
                             SearchScope& aScope)
 {
-  const UndecidedFlow* undecided =
-    m_undecided.Find(aNow, aFlow, aAck, RoutesVersion());
+  const UndecidedFlow* undecided = m_undecided.Find(aNow, aFlow, aAck);
   if (!undecided) {
     return false;
   }
--- a/packages/flow/UndecidedFlows.cpp
+++ b/packages/flow/UndecidedFlows.cpp
@@ -23,15 +23,11 @@
 // Another acknowledgement number may belong to a later flow between the same
 // addresses, which the agents were not asked about.
 const UndecidedFlow*
-UndecidedFlows::Find(TimePoint aNow,
-                     const FlowKey& aFlow,
-                     uint32_t aAck,
-                     uint64_t aRoutesVersion)
+UndecidedFlows::Find(TimePoint aNow, const FlowKey& aFlow, uint32_t aAck)
 {
   const UndecidedFlow* flow = m_flows.Find(aFlow);
-  bool isValid = flow && flow->m_ack == aAck &&
-                 flow->m_routesVersion == aRoutesVersion &&
-                 aNow - flow->m_endedAt <= kLifetime;
+  bool isValid =
+    flow && flow->m_ack == aAck && aNow - flow->m_endedAt <= kLifetime;
   return isValid ? flow : nullptr;
 }
 
--- a/packages/flow/UndecidedFlows.h
+++ b/packages/flow/UndecidedFlows.h
@@ -13,8 +13,6 @@
 {
   /** Acknowledgement number that the agents were asked about. */
   uint32_t m_ack = 0;
-  /** Version of the routes that determined which agents were asked. */
-  uint64_t m_routesVersion = 0;
   /** Start of the search. All agents known then have denied the flow, except
    * m_unanswered. */
   TimePoint m_searchedAt;
@@ -40,12 +38,11 @@
   void Remember(const FlowKey& aFlow, UndecidedFlow aUndecided);
 
   /** Returns the undecided search of a flow, or nullptr if there is none that
-   * applies to a packet with this acknowledgement number under these routes.
-   * Valid until the next call. */
+   * applies to a packet with this acknowledgement number. Valid until the next
+   * call. */
   const UndecidedFlow* Find(TimePoint aNow,
                             const FlowKey& aFlow,
-                            uint32_t aAck,
-                            uint64_t aRoutesVersion);
+                            uint32_t aAck);
 
   /** Handles a denial that arrived after the search had ended. */
   void OnDenied(const FlowKey& aFlow, uint32_t aAgentIp);
