Ask the agents of other services only after the likely ones

Cause: the others were asked after 30 ms, also while likely agents had not answered. Change: the others are asked once the likely agents have denied the flow or count as unreachable. An undecided search remembers whether they were asked, and the time of the first query, so that the next packet does not wait again for an agent that had its time.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -386,9 +386,6 @@
   }
   std::erase(scope.m_agents, aDenyingIp);
   std::erase(scope.m_others, aDenyingIp);
-  if (scope.m_agents.empty()) {
-    std::swap(scope.m_agents, scope.m_others);
-  }
   return scope;
 }
 
@@ -403,10 +400,14 @@
     return m_searches.HoldPacket(key, aBytes);
   }
   SearchScope scope = SearchScopeFor(aNow, key, aDenyingIp);
-  bool isKnown =
+  bool wereAllAsked =
     m_resetsLostFlows && RemoveDenials(aNow, key, aHeader.m_ack, scope);
+  if (scope.m_agents.empty()) {
+    std::swap(scope.m_agents, scope.m_others);
+    scope.m_queriedAt = std::nullopt;
+  }
   bool isLost =
-    isKnown && scope.m_isComplete &&
+    wereAllAsked && scope.m_isComplete &&
     std::all_of(scope.m_agents.begin(),
                 scope.m_agents.end(),
                 [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); });
@@ -478,12 +479,12 @@
                          { aStep.m_ack,
                            aNow - aStep.m_elapsed,
                            aNow,
-                           std::move(aStep.m_unanswered) });
+                           std::move(aStep.m_unanswered),
+                           aStep.m_wereOthersQueried });
   }
 }
 
-// Agents that were added since have not been asked. What is left is asked at
-// once, since there are few.
+// Agents that were added since have not been asked.
 bool
 FlowBalancer::RemoveDenials(TimePoint aNow,
                             const FlowKey& aFlow,
@@ -494,17 +495,25 @@
   if (!undecided) {
     return false;
   }
-  std::vector<uint32_t>& agents = aScope.m_agents;
-  agents.insert(agents.end(), aScope.m_others.begin(), aScope.m_others.end());
-  aScope.m_others.clear();
   const std::vector<uint32_t>& unanswered = undecided->m_unanswered;
-  std::erase_if(agents, [&](uint32_t aIp) {
+  auto hasDenied = [&](uint32_t aIp) {
     bool isUnanswered =
       std::find(unanswered.begin(), unanswered.end(), aIp) != unanswered.end();
     return !isUnanswered &&
            m_agents.Find(aIp)->m_addedAt < undecided->m_searchedAt;
-  });
-  return true;
+  };
+  std::erase_if(aScope.m_agents, hasDenied);
+  if (undecided->m_wereOthersQueried) {
+    std::erase_if(aScope.m_others, hasDenied);
+    aScope.m_agents.insert(
+      aScope.m_agents.end(), aScope.m_others.begin(), aScope.m_others.end());
+    aScope.m_others.clear();
+  }
+  if (m_agents.HasAgentAddedSince(undecided->m_searchedAt)) {
+    return false;
+  }
+  aScope.m_queriedAt = undecided->m_searchedAt;
+  return undecided->m_wereOthersQueried;
 }
 
 bool
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -236,8 +236,8 @@
   void EndLostFlow(TimePoint aNow, SearchStep aStep);
   /** Drops the packets of an undecided search and remembers its result. */
   void EndUndecidedSearch(TimePoint aNow, SearchStep aStep);
-  /** Removes agents that denied the flow in an undecided search. Returns false
-   * if no search of the flow is remembered. */
+  /** Removes agents that denied the flow in an undecided search. Returns true
+   * if all others were asked in it. */
   bool RemoveDenials(TimePoint aNow,
                      const FlowKey& aFlow,
                      uint32_t aAck,
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -13,8 +13,8 @@
 constexpr size_t kMaxUnanswered = 3'000;
 /** Maximum number of packets held for one search. */
 constexpr size_t kMaxHeld = 4;
-/** Time after which candidates get the packets, or the other agents are
- * queried, although answers are outstanding. */
+/** Time after which candidates get the packets although answers of other agents
+ * are outstanding. */
 constexpr Duration kAnswerTimeout = Milliseconds(30);
 /** Time after which agents that have not answered are queried once more. */
 constexpr Duration kQueryAgainAfter = Milliseconds(250);
@@ -45,6 +45,7 @@
   }
   Search& search = m_searches[aFlow];
   search.m_startedAt = aNow;
+  search.m_queriedAt = aScope.m_queriedAt.value_or(aNow);
   search.m_othersQueriedAt = aNow;
   search.m_ack = aAck;
   search.m_isComplete = aScope.m_isComplete;
@@ -94,13 +95,11 @@
   step.m_elapsed = aNow - search.m_startedAt;
   m_unansweredCount -= search.m_unanswered.size();
   step.m_unanswered = std::move(search.m_unanswered);
-  if (search.m_wereOthersQueried) {
-    search.m_others.clear();
-  }
-  for (const std::vector<uint32_t>* undecided :
-       { &search.m_untried, &search.m_trying, &search.m_others }) {
+  step.m_wereOthersQueried = search.m_wereOthersQueried;
+  for (const std::vector<uint32_t>* candidates :
+       { &search.m_untried, &search.m_trying }) {
     step.m_unanswered.insert(
-      step.m_unanswered.end(), undecided->begin(), undecided->end());
+      step.m_unanswered.end(), candidates->begin(), candidates->end());
   }
   m_searches.erase(aFound);
   return step;
@@ -145,12 +144,12 @@
   if (!search.m_untried.empty()) {
     return TryCandidates(aNow, aFound);
   }
-  if (!search.m_wereOthersQueried) {
-    return QueryOthers(aNow, aFound);
-  }
   if (!search.m_unanswered.empty()) {
     return {};
   }
+  if (!search.m_wereOthersQueried) {
+    return QueryOthers(aNow, aFound);
+  }
   return End(aNow,
              aFound,
              search.m_isComplete ? SearchAction::Lost : SearchAction::GiveUp,
@@ -213,7 +212,9 @@
 
 // A flow can be at a server of another service than those of its present route:
 // the route was moved, and this process did not see that or no longer knows it.
-// While too many answers are outstanding, a later call tries again.
+// They are queried last: after a loss of power, when every search awaits agents
+// that are not back yet, their queries would only add to the load. While too
+// many answers are outstanding, a later call tries again.
 SearchStep
 FlowSearches::QueryOthers(TimePoint aNow, Searches::iterator aFound)
 {
@@ -265,7 +266,7 @@
     [&](uint32_t aIp) {
       return std::find(others.begin(), others.end(), aIp) != others.end();
     });
-  return isAwaitingOthers ? aSearch.m_othersQueriedAt : aSearch.m_startedAt;
+  return isAwaitingOthers ? aSearch.m_othersQueriedAt : aSearch.m_queriedAt;
 }
 
 bool
@@ -274,7 +275,6 @@
                                         const AgentPredicate& aIsUnreachable)
 {
   bool isDue = aIsUnreachable && aSearch.m_isComplete &&
-               aSearch.m_wereOthersQueried &&
                aNow - AwaitedSince(aSearch) > kUnreachableAnswerTimeout;
   auto areUnreachable = [&](const std::vector<uint32_t>& aAgents) {
     return std::all_of(aAgents.begin(), aAgents.end(), aIsUnreachable);
@@ -291,7 +291,8 @@
   Search& search = aFound->second;
   Duration age = aNow - search.m_startedAt;
   if (IsOnlyAwaitingUnreachable(aNow, search, aIsUnreachable)) {
-    return End(aNow, aFound, SearchAction::Lost, 0);
+    return search.m_wereOthersQueried ? End(aNow, aFound, SearchAction::Lost, 0)
+                                      : QueryOthers(aNow, aFound);
   }
   if (!search.m_trying.empty()) {
     return CheckCandidates(aNow, aFound);
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -36,9 +36,11 @@
   std::vector<std::vector<uint8_t>> m_heldPackets;
   /** Time since the search started. */
   Duration m_elapsed{ 0 };
-  /** Agents that neither confirmed nor denied the flow, or were not queried, if
-   * the action is Lost or GiveUp. */
+  /** Agents that were queried and neither confirmed nor denied the flow, if the
+   * action is Lost or GiveUp. */
   std::vector<uint32_t> m_unanswered;
+  /** SearchScope::m_others were queried, if the action is Lost or GiveUp. */
+  bool m_wereOthersQueried = true;
 };
 
 /** True for an agent whose answer a search need not wait for. */
@@ -49,10 +51,13 @@
 {
   /** The agents that are likely to have the flow. */
   std::vector<uint32_t> m_agents;
-  /** All other agents that may have it; queried if m_agents have no result. */
+  /** All other agents that may have it; queried once m_agents have denied it or
+   * are unreachable. */
   std::vector<uint32_t> m_others;
   /** No other agent can have the flow. */
   bool m_isComplete = false;
+  /** Time of the first query to m_agents, if an earlier search queried them. */
+  std::optional<TimePoint> m_queriedAt;
 };
 
 /**
@@ -106,6 +111,8 @@
   struct Search
   {
     TimePoint m_startedAt;
+    /** Time of the first query to SearchScope::m_agents. */
+    TimePoint m_queriedAt;
     /** Time of the query to m_others; m_startedAt before it. */
     TimePoint m_othersQueriedAt;
     uint32_t m_ack = 0;
--- a/packages/flow/UndecidedFlows.h
+++ b/packages/flow/UndecidedFlows.h
@@ -19,6 +19,9 @@
   TimePoint m_endedAt;
   /** Agents that have neither confirmed nor denied the flow. */
   std::vector<uint32_t> m_unanswered;
+  /** SearchScope::m_others were queried; otherwise none of them has denied the
+   * flow. */
+  bool m_wereOthersQueried = true;
 };
 
 /**
