Wait once for an unreachable agent, not once for each flow

Cause: each search gave an agent that counts as unreachable 200 ms to answer, though it had not answered the searches before. Since all agents are asked before a reset, one agent that is gone delays the flows of every service. Change: the time runs from the first query of any search since the agent's last message. An agent that reports, but has no server, needs no such time.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -81,6 +81,7 @@
   AgentState& agent =
     Upsert(aNow, { aReport.m_service, aReport.m_domain, aReport.m_packets });
   agent.m_lastReport = aNow;
+  agent.m_queriedAt = std::nullopt;
   agent.m_serverStartedAt = std::nullopt;
   if (aReport.m_sinceServerStart > Milliseconds(0)) {
     agent.m_serverStartedAt = aNow - aReport.m_sinceServerStart;
@@ -97,6 +98,7 @@
     return;
   }
   found->second.m_lastReport = aNow;
+  found->second.m_queriedAt = std::nullopt;
   SetLoad(aNow, found->second, aLoad);
 }
 
@@ -169,6 +171,25 @@
   }
 }
 
+void
+AgentList::OnQueried(TimePoint aNow, const std::vector<uint32_t>& aAgents)
+{
+  for (uint32_t ip : aAgents) {
+    auto found = m_agents.find(ip);
+    if (found != m_agents.end() && !found->second.m_queriedAt) {
+      found->second.m_queriedAt = aNow;
+    }
+  }
+}
+
+void
+AgentList::OnAnswered(uint32_t aAgentIp)
+{
+  if (auto found = m_agents.find(aAgentIp); found != m_agents.end()) {
+    found->second.m_queriedAt = std::nullopt;
+  }
+}
+
 void
 AgentList::OnFlowPlaced(uint32_t aAgentIp)
 {
@@ -188,6 +209,9 @@
     if (agent.m_serverUnknownSince) {
       *agent.m_serverUnknownSince += aPause;
     }
+    if (agent.m_queriedAt) {
+      *agent.m_queriedAt += aPause;
+    }
   }
 }
 
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -64,6 +64,9 @@
    * server; empty while it knows the server. */
   std::optional<TimePoint> m_serverUnknownSince;
   std::optional<SentSubscription> m_lastSubscription;
+  /** Time of the first query since the agent's last message; empty if there was
+   * none. */
+  std::optional<TimePoint> m_queriedAt;
 
   /** Time since the last report, or since the agent was added if there is none.
    */
@@ -109,6 +112,12 @@
   /** Updates the condition or load of an agent that returned a SYN. */
   void OnReturnedSyn(uint32_t aAgentIp, ReturnReason aReason, uint32_t aBusy);
 
+  /** Records queries that are sent to agents. */
+  void OnQueried(TimePoint aNow, const std::vector<uint32_t>& aAgents);
+
+  /** Records an answer of an agent. */
+  void OnAnswered(uint32_t aAgentIp);
+
   /** Counts a new flow that was sent to an agent. */
   void OnFlowPlaced(uint32_t aAgentIp);
 
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -24,6 +24,8 @@
 /** Time after which a list of agents that matches the store counts as complete.
  */
 constexpr Duration kListSettleTime = Milliseconds(500);
+/** Time that an agent which counts as unreachable has to answer after all. */
+constexpr Duration kUnreachableAnswerTimeout = Milliseconds(200);
 /** Time without any report after which this balancer counts as disconnected. */
 constexpr Duration kIsolationTimeout = Milliseconds(700);
 
@@ -404,13 +406,12 @@
     m_resetsLostFlows && RemoveDenials(aNow, key, aHeader.m_ack, scope);
   if (scope.m_agents.empty()) {
     std::swap(scope.m_agents, scope.m_others);
-    scope.m_queriedAt = std::nullopt;
   }
   bool isLost =
     wereAllAsked && scope.m_isComplete &&
     std::all_of(scope.m_agents.begin(),
                 scope.m_agents.end(),
-                [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); });
+                [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); });
   if (isLost) {
     SearchStep lost;
     lost.m_flow = key;
@@ -439,6 +440,7 @@
               FlowReason::Searched,
               aStep.m_flow,
               aStep.m_ack);
+      m_agents.OnQueried(aNow, aStep.m_agents);
       m_steps.back().m_queriedAgents = std::move(aStep.m_agents);
       return;
     case SearchAction::Lost:
@@ -509,18 +511,22 @@
       aScope.m_agents.end(), aScope.m_others.begin(), aScope.m_others.end());
     aScope.m_others.clear();
   }
-  if (m_agents.HasAgentAddedSince(undecided->m_searchedAt)) {
-    return false;
-  }
-  aScope.m_queriedAt = undecided->m_searchedAt;
-  return undecided->m_wereOthersQueried;
+  return undecided->m_wereOthersQueried &&
+         !m_agents.HasAgentAddedSince(undecided->m_searchedAt);
 }
 
+// The time to answer is for a VM that has just resumed. An agent that reports
+// is unreachable because it has no server, and needs none.
 bool
-FlowBalancer::IsUnreachable(TimePoint aNow, uint32_t aAgentIp)
+FlowBalancer::IsUnresponsive(TimePoint aNow, uint32_t aAgentIp)
 {
   const AgentState* agent = m_agents.Find(aAgentIp);
-  return agent && m_reachability.IsUnreachable(aNow, *agent);
+  if (!agent || !m_reachability.IsUnreachable(aNow, *agent)) {
+    return false;
+  }
+  bool hadTime = agent->m_queriedAt &&
+                 aNow - *agent->m_queriedAt > kUnreachableAnswerTimeout;
+  return hadTime || m_agents.IsReporting(aNow, *agent);
 }
 
 void
@@ -581,6 +587,7 @@
 {
   m_steps.clear();
   AccountForPause(aNow);
+  m_agents.OnAnswered(aAgentIp);
   if (m_resetsLostFlows && !m_searches.Contains(aAnswer.m_flow)) {
     OnLateAnswer(aAgentIp, aAnswer);
     return m_steps;
@@ -645,7 +652,7 @@
   if (m_resetsLostFlows) {
     m_reachability.OnTick(aNow);
     m_undecided.OnTick(aNow);
-    isUnreachable = [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); };
+    isUnreachable = [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); };
   }
   for (SearchStep& step : m_searches.OnTick(aNow, isUnreachable)) {
     ApplySearchStep(aNow, std::move(step));
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -18,9 +18,6 @@
 constexpr Duration kAnswerTimeout = Milliseconds(30);
 /** Time after which agents that have not answered are queried once more. */
 constexpr Duration kQueryAgainAfter = Milliseconds(250);
-/** Time that agents which count as unreachable have to answer after all, for
- * example when their VM has just resumed. */
-constexpr Duration kUnreachableAnswerTimeout = Milliseconds(200);
 /** Time after which a search without candidates ends without a result. */
 constexpr Duration kSearchTimeout = Seconds(1);
 /** Maximum number of candidates that get the packets at the same time. */
@@ -45,7 +42,6 @@
   }
   Search& search = m_searches[aFlow];
   search.m_startedAt = aNow;
-  search.m_queriedAt = aScope.m_queriedAt.value_or(aNow);
   search.m_othersQueriedAt = aNow;
   search.m_ack = aAck;
   search.m_isComplete = aScope.m_isComplete;
@@ -256,30 +252,15 @@
   return {};
 }
 
-TimePoint
-FlowSearches::AwaitedSince(const Search& aSearch)
-{
-  const std::vector<uint32_t>& others = aSearch.m_others;
-  bool isAwaitingOthers = std::any_of(
-    aSearch.m_unanswered.begin(),
-    aSearch.m_unanswered.end(),
-    [&](uint32_t aIp) {
-      return std::find(others.begin(), others.end(), aIp) != others.end();
-    });
-  return isAwaitingOthers ? aSearch.m_othersQueriedAt : aSearch.m_queriedAt;
-}
-
 bool
-FlowSearches::IsOnlyAwaitingUnreachable(TimePoint aNow,
-                                        const Search& aSearch,
+FlowSearches::IsOnlyAwaitingUnreachable(const Search& aSearch,
                                         const AgentPredicate& aIsUnreachable)
 {
-  bool isDue = aIsUnreachable && aSearch.m_isComplete &&
-               aNow - AwaitedSince(aSearch) > kUnreachableAnswerTimeout;
   auto areUnreachable = [&](const std::vector<uint32_t>& aAgents) {
     return std::all_of(aAgents.begin(), aAgents.end(), aIsUnreachable);
   };
-  return isDue && areUnreachable(aSearch.m_unanswered) &&
+  return aIsUnreachable && aSearch.m_isComplete &&
+         areUnreachable(aSearch.m_unanswered) &&
          areUnreachable(aSearch.m_trying) && areUnreachable(aSearch.m_untried);
 }
 
@@ -290,7 +271,7 @@
 {
   Search& search = aFound->second;
   Duration age = aNow - search.m_startedAt;
-  if (IsOnlyAwaitingUnreachable(aNow, search, aIsUnreachable)) {
+  if (IsOnlyAwaitingUnreachable(search, aIsUnreachable)) {
     return search.m_wereOthersQueried ? End(aNow, aFound, SearchAction::Lost, 0)
                                       : QueryOthers(aNow, aFound);
   }
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -56,8 +56,6 @@
   std::vector<uint32_t> m_others;
   /** No other agent can have the flow. */
   bool m_isComplete = false;
-  /** Time of the first query to m_agents, if an earlier search queried them. */
-  std::optional<TimePoint> m_queriedAt;
 };
 
 /**
@@ -111,8 +109,6 @@
   struct Search
   {
     TimePoint m_startedAt;
-    /** Time of the first query to SearchScope::m_agents. */
-    TimePoint m_queriedAt;
     /** Time of the query to m_others; m_startedAt before it. */
     TimePoint m_othersQueriedAt;
     uint32_t m_ack = 0;
@@ -149,10 +145,7 @@
   SearchStep OnTimer(TimePoint aNow,
                      Searches::iterator aFound,
                      const AgentPredicate& aIsUnreachable);
-  /** Time of the first query to the agents whose answers are outstanding. */
-  static TimePoint AwaitedSince(const Search& aSearch);
-  static bool IsOnlyAwaitingUnreachable(TimePoint aNow,
-                                        const Search& aSearch,
+  static bool IsOnlyAwaitingUnreachable(const Search& aSearch,
                                         const AgentPredicate& aIsUnreachable);
 
   Searches m_searches;
--- a/test/correctness/LostFlowResets.cpp
+++ b/test/correctness/LostFlowResets.cpp
@@ -193,6 +193,35 @@
   cr_assert_eq(site.ResetCount(), 1);
 }
 
+// Guards against a reset before a VM that has just resumed has answered, and
+// against each caller waiting anew for an agent that has not answered others.
+Test(LostFlowResets, GiveAnUnreachableAgentTimeToAnswerOnce)
+{
+  LongFlows resumed;
+  resumed.m_net.PauseServer(resumed.m_lost, Milliseconds(8100));
+  resumed.m_net.RunFor(Seconds(8));
+  resumed.RunCallersFor(Milliseconds(600));
+  cr_assert_eq(resumed.ResetCount(), 0);
+
+  LongFlows gone(8, 40);
+  gone.m_net.KillServer(gone.m_lost);
+  gone.m_net.RunFor(Seconds(8));
+  size_t lost = 0;
+  size_t slow = 0;
+  for (size_t i = 0; i < gone.m_net.Flows().size(); ++i) {
+    TimePoint sentAt = gone.m_net.Now();
+    gone.m_net.RepeatRequest(i);
+    gone.m_net.RunFor(Milliseconds(300));
+    const FakeFlow& flow = gone.m_net.Flow(i);
+    if (flow.m_state == FlowState::Reset) {
+      lost += 1;
+      slow += flow.m_resetAt - sentAt > Milliseconds(50) ? 1 : 0;
+    }
+  }
+  cr_assert_gt(lost, kBalancers);
+  cr_assert_leq(slow, kBalancers);
+}
+
 // An agent that is missing from an outdated list may have the flow.
 Test(LostFlowResets, RequireACurrentListOfAgents)
 {
