Give candidates of a search their time to answer in any case

Found by reading. Change: a search ends when it has waited 200 ms for unreachable agents, as before, or when all that it awaits have not answered earlier searches either.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -24,8 +24,9 @@
 /** Time after which a list of agents that matches the store counts as complete.
  */
 constexpr Duration kListSettleTime = Milliseconds(500);
-/** Time that an agent which counts as unreachable has to answer after all. */
-constexpr Duration kUnreachableAnswerTimeout = Milliseconds(200);
+/** Time from the first query since the last message of an agent that counts as
+ * unreachable, after which no search waits for its answer. */
+constexpr Duration kUnresponsiveAfter = Milliseconds(200);
 /** Time without any report after which this balancer counts as disconnected. */
 constexpr Duration kIsolationTimeout = Milliseconds(700);
 
@@ -411,7 +412,7 @@
     wereAllAsked && scope.m_isComplete &&
     std::all_of(scope.m_agents.begin(),
                 scope.m_agents.end(),
-                [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); });
+                [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); });
   if (isLost) {
     SearchStep lost;
     lost.m_flow = key;
@@ -515,18 +516,21 @@
          !m_agents.HasAgentAddedSince(undecided->m_searchedAt);
 }
 
-// The time to answer is for a VM that has just resumed. An agent that reports
-// is unreachable because it has no server, and needs none.
+bool
+FlowBalancer::IsUnreachable(TimePoint aNow, uint32_t aAgentIp)
+{
+  const AgentState* agent = m_agents.Find(aAgentIp);
+  return agent && m_reachability.IsUnreachable(aNow, *agent);
+}
+
+// One caller waits for an agent that is gone, and not each.
 bool
 FlowBalancer::IsUnresponsive(TimePoint aNow, uint32_t aAgentIp)
 {
   const AgentState* agent = m_agents.Find(aAgentIp);
-  if (!agent || !m_reachability.IsUnreachable(aNow, *agent)) {
-    return false;
-  }
-  bool hadTime = agent->m_queriedAt &&
-                 aNow - *agent->m_queriedAt > kUnreachableAnswerTimeout;
-  return hadTime || m_agents.IsReporting(aNow, *agent);
+  return agent && agent->m_queriedAt &&
+         aNow - *agent->m_queriedAt > kUnresponsiveAfter &&
+         m_reachability.IsUnreachable(aNow, *agent);
 }
 
 void
@@ -649,12 +653,15 @@
     m_earlierServices.StartGeneration();
   }
   AgentPredicate isUnreachable;
+  AgentPredicate isUnresponsive;
   if (m_resetsLostFlows) {
     m_reachability.OnTick(aNow);
     m_undecided.OnTick(aNow);
-    isUnreachable = [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); };
+    isUnreachable = [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); };
+    isUnresponsive = [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); };
   }
-  for (SearchStep& step : m_searches.OnTick(aNow, isUnreachable)) {
+  for (SearchStep& step :
+       m_searches.OnTick(aNow, isUnreachable, isUnresponsive)) {
     ApplySearchStep(aNow, std::move(step));
   }
   return m_steps;
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -242,8 +242,9 @@
                      const FlowKey& aFlow,
                      uint32_t aAck,
                      SearchScope& aScope);
-  /** True if an agent counts as unreachable and has had time to answer a query.
-   * An evicted agent does not count. */
+  /** True if an agent counts as unreachable; an evicted one does not. */
+  bool IsUnreachable(TimePoint aNow, uint32_t aAgentIp);
+  /** True if it also has not answered queries of earlier searches. */
   bool IsUnresponsive(TimePoint aNow, uint32_t aAgentIp);
   /** Handles an answer that arrived after the search had ended. */
   void OnLateAnswer(uint32_t aAgentIp, const FlowAnswer& aAnswer);
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -18,6 +18,9 @@
 constexpr Duration kAnswerTimeout = Milliseconds(30);
 /** Time after which agents that have not answered are queried once more. */
 constexpr Duration kQueryAgainAfter = Milliseconds(250);
+/** Time that agents which count as unreachable have to answer after all, for
+ * example when their VM has just resumed. */
+constexpr Duration kUnreachableAnswerTimeout = Milliseconds(200);
 /** Time after which a search without candidates ends without a result. */
 constexpr Duration kSearchTimeout = Seconds(1);
 /** Maximum number of candidates that get the packets at the same time. */
@@ -42,7 +45,7 @@
   }
   Search& search = m_searches[aFlow];
   search.m_startedAt = aNow;
-  search.m_othersQueriedAt = aNow;
+  search.m_lastQueriedAt = aNow;
   search.m_ack = aAck;
   search.m_isComplete = aScope.m_isComplete;
   search.m_unanswered = aScope.m_agents;
@@ -133,7 +136,7 @@
     return {};
   }
   bool isAwaitingAnswers = !search.m_unanswered.empty() &&
-                           aNow - search.m_othersQueriedAt <= kAnswerTimeout;
+                           aNow - search.m_lastQueriedAt <= kAnswerTimeout;
   if (isAwaitingAnswers) {
     return {};
   }
@@ -219,7 +222,7 @@
     return {};
   }
   search.m_wereOthersQueried = true;
-  search.m_othersQueriedAt = aNow;
+  search.m_lastQueriedAt = aNow;
   search.m_unanswered.insert(
     search.m_unanswered.end(), search.m_others.begin(), search.m_others.end());
   m_unansweredCount += search.m_others.size();
@@ -253,25 +256,27 @@
 }
 
 bool
-FlowSearches::IsOnlyAwaitingUnreachable(const Search& aSearch,
-                                        const AgentPredicate& aIsUnreachable)
+FlowSearches::IsOnlyAwaiting(const Search& aSearch,
+                             const AgentPredicate& aHasProperty)
 {
-  auto areUnreachable = [&](const std::vector<uint32_t>& aAgents) {
-    return std::all_of(aAgents.begin(), aAgents.end(), aIsUnreachable);
+  auto haveProperty = [&](const std::vector<uint32_t>& aAgents) {
+    return std::all_of(aAgents.begin(), aAgents.end(), aHasProperty);
   };
-  return aIsUnreachable && aSearch.m_isComplete &&
-         areUnreachable(aSearch.m_unanswered) &&
-         areUnreachable(aSearch.m_trying) && areUnreachable(aSearch.m_untried);
+  return aHasProperty && aSearch.m_isComplete &&
+         haveProperty(aSearch.m_unanswered) && haveProperty(aSearch.m_trying) &&
+         haveProperty(aSearch.m_untried);
 }
 
 SearchStep
 FlowSearches::OnTimer(TimePoint aNow,
                       Searches::iterator aFound,
-                      const AgentPredicate& aIsUnreachable)
+                      const AgentPredicate& aIsUnreachable,
+                      const AgentPredicate& aIsUnresponsive)
 {
   Search& search = aFound->second;
   Duration age = aNow - search.m_startedAt;
-  if (IsOnlyAwaitingUnreachable(search, aIsUnreachable)) {
+  bool hadTime = aNow - search.m_lastQueriedAt > kUnreachableAnswerTimeout;
+  if (IsOnlyAwaiting(search, hadTime ? aIsUnreachable : aIsUnresponsive)) {
     return search.m_wereOthersQueried ? End(aNow, aFound, SearchAction::Lost, 0)
                                       : QueryOthers(aNow, aFound);
   }
@@ -289,7 +294,9 @@
 }
 
 std::vector<SearchStep>
-FlowSearches::OnTick(TimePoint aNow, const AgentPredicate& aIsUnreachable)
+FlowSearches::OnTick(TimePoint aNow,
+                     const AgentPredicate& aIsUnreachable,
+                     const AgentPredicate& aIsUnresponsive)
 {
   // OnTimer may erase searches, so their keys are copied first.
   std::vector<FlowKey> flows;
@@ -298,7 +305,8 @@
   }
   std::vector<SearchStep> steps;
   for (const FlowKey& flow : flows) {
-    SearchStep step = OnTimer(aNow, m_searches.find(flow), aIsUnreachable);
+    SearchStep step =
+      OnTimer(aNow, m_searches.find(flow), aIsUnreachable, aIsUnresponsive);
     if (step.m_action != SearchAction::Wait) {
       steps.push_back(std::move(step));
     }
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -100,17 +100,19 @@
                         PacketBytes aBytes);
 
   /** Returns the steps that are due because of timeouts. A complete search ends
-   * with Lost if all agents that have not answered are unreachable; without
-   * aIsUnreachable no agent is. */
+   * with Lost if all agents that have not answered are unreachable and have had
+   * time to answer this search, or are unresponsive: unreachable, and have had
+   * time to answer an earlier one. Without the predicates no agent is. */
   std::vector<SearchStep> OnTick(TimePoint aNow,
-                                 const AgentPredicate& aIsUnreachable = {});
+                                 const AgentPredicate& aIsUnreachable = {},
+                                 const AgentPredicate& aIsUnresponsive = {});
 
 private:
   struct Search
   {
     TimePoint m_startedAt;
     /** Time of the query to m_others; m_startedAt before it. */
-    TimePoint m_othersQueriedAt;
+    TimePoint m_lastQueriedAt;
     uint32_t m_ack = 0;
     bool m_isComplete = false;
     bool m_wasQueriedAgain = false;
@@ -144,9 +146,11 @@
   SearchStep CheckCandidates(TimePoint aNow, Searches::iterator aFound);
   SearchStep OnTimer(TimePoint aNow,
                      Searches::iterator aFound,
-                     const AgentPredicate& aIsUnreachable);
-  static bool IsOnlyAwaitingUnreachable(const Search& aSearch,
-                                        const AgentPredicate& aIsUnreachable);
+                     const AgentPredicate& aIsUnreachable,
+                     const AgentPredicate& aIsUnresponsive);
+  /** True if the search awaits only agents with the property. */
+  static bool IsOnlyAwaiting(const Search& aSearch,
+                             const AgentPredicate& aHasProperty);
 
   Searches m_searches;
   /** Outstanding answers of all searches together. */
