--- a/review/standins-2/Stage.h
+++ b/review/standins-2/Stage.h
@@ -988,6 +988,7 @@
     /** Sequence number of the next byte to send. */
     uint32_t m_next = 0;
     bool m_isAnswered = false;
+    bool m_isClosing = false;
     double m_repeatAt = 0;
     double m_repeatGap = 200;
     int m_repeats = 0;
@@ -1076,6 +1077,15 @@
     m_socket.Send(packet, m_outbound);
   }
 
+  void SendAnswer(const Key& aKey, const Flow& aFlow)
+  {
+    uint8_t flags = kAck;
+    if (aFlow.m_isClosing) {
+      flags |= kFin;
+    }
+    Send(aKey, flags, aFlow.m_answerSeq, aFlow.m_answer);
+  }
+
   void Bounce(Packet aPacket)
   {
     aPacket.m_flags |= kBounced;
@@ -1176,12 +1186,14 @@
       Flow& flow = m_flows[key];
       flow.m_answerSeq = flow.m_next;
       flow.m_next += static_cast<uint32_t>(flow.m_answer.size());
+      // A server that drains closes each flow after its next answer.
+      flow.m_isClosing = m_isDraining;
       flow.m_isAnswered = false;
       flow.m_repeats = 0;
       flow.m_repeatGap = 200;
       flow.m_repeatAt = Now() + flow.m_repeatGap;
       m_unconfirmed.insert(key);
-      Send(key, kAck, flow.m_answerSeq, flow.m_answer);
+      SendAnswer(key, flow);
     }
     while (m_work.size() < static_cast<size_t>(m_options.m_slots) &&
            !m_waiting.empty()) {
@@ -1201,7 +1213,7 @@
         flow.m_repeats += 1;
         flow.m_repeatGap = std::min(2 * flow.m_repeatGap, 1600.0);
         flow.m_repeatAt = Now() + flow.m_repeatGap;
-        Send(*it, kAck, flow.m_answerSeq, flow.m_answer);
+        SendAnswer(*it, flow);
       }
       ++it;
     }
@@ -1240,6 +1252,8 @@
   /** "answered", "reset", "no answer" or "foreign answer". */
   string m_end;
   uint32_t m_serverSeq = 0;
+  /** Checksum of the reset that ended it; 0 in one of the system's own. */
+  uint32_t m_resetSum = 0;
 };
 
 /** Callers that open a flow for each request, and the fabric that hashes their
@@ -1430,6 +1444,7 @@
     }
     Flow& flow = found->second;
     if (aPacket.Has(kReset)) {
+      flow.m_try.m_resetSum = aPacket.m_sum;
       return End(found, "reset");
     }
     if (aPacket.m_sum != aPacket.Sum()) {
@@ -1454,7 +1469,9 @@
       flow.m_try.m_serverSeq += static_cast<uint32_t>(aPacket.m_data.size());
       flow.m_seq += static_cast<uint32_t>(Request(flow).size());
       string end = isOwn ? "answered" : "foreign answer";
-      if (flow.m_requests >= m_requestsPerFlow || m_isClosing) {
+      bool isLast = flow.m_requests >= m_requestsPerFlow || m_isClosing ||
+                    aPacket.Has(kFin);
+      if (isLast) {
         Send(found->first, flow, kAck | kFin, "");
         return End(found, end);
       }
