Review: sources that the first review's build does not take, all entries

Cause: review/build.sh builds each review/*/Case.cpp with the stand-ins of the first review, so it failed beside the new cases.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 for case in 6 7 8 9 10; do
-  source="review/$case/Case.cpp"
+  source="review/$case/Play.cpp"
   if [ -f "$source" ]; then
     mkdir -p target/review-2
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/standins-2 \
