--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -136,15 +136,15 @@
 }
 
 void
-AgentList::OnReturnedSyn(uint32_t aAgentIp,
+AgentList::OnReturnedSyn(const AgentId& aAgent,
                          ReturnReason aReason,
                          uint32_t aBusy)
 {
-  auto found = m_agents.find(aAgentIp);
-  if (found == m_agents.end()) {
+  AgentState* found = FindMutable(aAgent);
+  if (!found) {
     return;
   }
-  AgentState& agent = found->second;
+  AgentState& agent = *found;
   switch (aReason) {
     case ReturnReason::Starting:
       agent.m_load.m_condition = ServerCondition::Unknown;
@@ -172,29 +172,29 @@
 }
 
 void
-AgentList::OnQueried(TimePoint aNow, const std::vector<uint32_t>& aAgents)
+AgentList::OnQueried(TimePoint aNow, const std::vector<AgentId>& aAgents)
 {
-  for (uint32_t ip : aAgents) {
-    auto found = m_agents.find(ip);
-    if (found != m_agents.end() && !found->second.m_queriedAt) {
-      found->second.m_queriedAt = aNow;
+  for (const AgentId& id : aAgents) {
+    AgentState* agent = FindMutable(id);
+    if (agent && !agent->m_queriedAt) {
+      agent->m_queriedAt = aNow;
     }
   }
 }
 
 void
-AgentList::OnAnswered(uint32_t aAgentIp)
+AgentList::OnAnswered(const AgentId& aAgent)
 {
-  if (auto found = m_agents.find(aAgentIp); found != m_agents.end()) {
-    found->second.m_queriedAt = std::nullopt;
+  if (AgentState* agent = FindMutable(aAgent)) {
+    agent->m_queriedAt = std::nullopt;
   }
 }
 
 void
-AgentList::OnFlowPlaced(uint32_t aAgentIp)
+AgentList::OnFlowPlaced(const AgentId& aAgent)
 {
-  if (auto found = m_agents.find(aAgentIp); found != m_agents.end()) {
-    found->second.m_load.m_busy += 1;
+  if (AgentState* agent = FindMutable(aAgent)) {
+    agent->m_load.m_busy += 1;
   }
 }
 
@@ -253,7 +253,7 @@
 std::vector<PlacementCandidate>
 AgentList::Candidates(TimePoint aNow,
                       const std::string& aService,
-                      std::span<const uint32_t> aTried) const
+                      std::span<const AgentId> aTried) const
 {
   std::vector<PlacementCandidate> candidates;
   for (uint32_t ip : AgentsOf(aService)) {
@@ -261,11 +261,12 @@
     bool isUsable = IsAwaitingFirstReport(aNow, agent) ||
                     (IsReporting(aNow, agent) &&
                      agent.m_load.m_condition == ServerCondition::Ready);
-    bool wasTried = std::find(aTried.begin(), aTried.end(), ip) != aTried.end();
+    bool wasTried =
+      std::find(aTried.begin(), aTried.end(), agent.Id()) != aTried.end();
     if (!isUsable || wasTried || IsEvacuated(aNow, agent)) {
       continue;
     }
-    candidates.push_back({ ip,
+    candidates.push_back({ agent.Id(),
                            agent.m_isSameDomain,
                            agent.m_load.m_busy,
                            agent.m_load.m_slots,
@@ -344,9 +345,25 @@
 }
 
 const AgentState*
-AgentList::Find(uint32_t aAgentIp) const
+AgentList::Find(const AgentId& aAgent) const
 {
-  auto found = m_agents.find(aAgentIp);
+  const AgentState* agent = FindAt(aAgent.m_ip);
+  return agent && agent->m_serviceTag == aAgent.m_serviceTag ? agent : nullptr;
+}
+
+AgentState*
+AgentList::FindMutable(const AgentId& aAgent)
+{
+  auto found = m_agents.find(aAgent.m_ip);
+  bool isSame = found != m_agents.end() &&
+                found->second.m_serviceTag == aAgent.m_serviceTag;
+  return isSame ? &found->second : nullptr;
+}
+
+const AgentState*
+AgentList::FindAt(uint32_t aIp) const
+{
+  auto found = m_agents.find(aIp);
   return found == m_agents.end() ? nullptr : &found->second;
 }
 
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AgentId.h"
 #include "FlowMessages.h"
 #include "Placement.h"
 #include "StorePosition.h"
@@ -68,6 +69,8 @@
    * none. */
   std::optional<TimePoint> m_queriedAt;
 
+  AgentId Id() const { return { m_entry.m_packets.m_ip, m_serviceTag }; }
+
   /** Time since the last report, or since the agent was added if there is none.
    */
   Duration TimeSinceContact(TimePoint aNow) const
@@ -110,16 +113,18 @@
                     const Subscribe& aMessage);
 
   /** Updates the condition or load of an agent that returned a SYN. */
-  void OnReturnedSyn(uint32_t aAgentIp, ReturnReason aReason, uint32_t aBusy);
+  void OnReturnedSyn(const AgentId& aAgent,
+                     ReturnReason aReason,
+                     uint32_t aBusy);
 
   /** Records queries that are sent to agents. */
-  void OnQueried(TimePoint aNow, const std::vector<uint32_t>& aAgents);
+  void OnQueried(TimePoint aNow, const std::vector<AgentId>& aAgents);
 
   /** Records an answer of an agent. */
-  void OnAnswered(uint32_t aAgentIp);
+  void OnAnswered(const AgentId& aAgent);
 
   /** Counts a new flow that was sent to an agent. */
-  void OnFlowPlaced(uint32_t aAgentIp);
+  void OnFlowPlaced(const AgentId& aAgent);
 
   /** Excludes a pause of this process from the time without reports. */
   void OnPause(Duration aPause);
@@ -133,7 +138,7 @@
   std::vector<PlacementCandidate> Candidates(
     TimePoint aNow,
     const std::string& aService,
-    std::span<const uint32_t> aTried) const;
+    std::span<const AgentId> aTried) const;
 
   /** True while an agent of the service is present whose server's condition is
    * still unknown and whose failure domain is not evacuated. */
@@ -159,8 +164,11 @@
     return m_byService;
   }
 
-  /** Returns the agent at an address, or nullptr. */
-  const AgentState* Find(uint32_t aAgentIp) const;
+  /** Returns an agent, or nullptr if it is not known or another agent has its
+   * address now. */
+  const AgentState* Find(const AgentId& aAgent) const;
+  /** Returns the agent that has an address now, or nullptr. */
+  const AgentState* FindAt(uint32_t aIp) const;
   /** All agents by address. */
   const std::map<uint32_t, AgentState>& All() const { return m_agents; }
 
@@ -188,6 +196,8 @@
   /** Returns the agent at the entry's address. Adds it if it is missing, resets
    * it if its entry differs. */
   AgentState& Upsert(TimePoint aNow, const AgentEntry& aEntry);
+  /** As Find, to change its state. */
+  AgentState* FindMutable(const AgentId& aAgent);
   static void SetLoad(TimePoint aNow,
                       AgentState& aAgent,
                       const ServerLoad& aLoad);
--- a/packages/flow/AgentReachability.cpp
+++ b/packages/flow/AgentReachability.cpp
@@ -75,7 +75,7 @@
   size_t listedCount = 0;
   size_t heardCount = 0;
   for (uint32_t ip : m_agents.AgentsOf(aService)) {
-    const AgentState& agent = *m_agents.Find(ip);
+    const AgentState& agent = *m_agents.FindAt(ip);
     bool isReporting = m_agents.IsReporting(aNow, agent);
     listedCount += agent.m_isListed ? 1 : 0;
     heardCount += agent.m_isListed && isReporting ? 1 : 0;
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -12,9 +12,9 @@
 /** Time for which a changed or dropped route is known at least. */
 constexpr Duration kEarlierRouteRetention = Seconds(60);
 /** Returns of a SYN after which the next agent may queue it at any load. */
-constexpr uint8_t kTriesBeforeQueueing = 5;
+constexpr size_t kTriesBeforeQueueing = 5;
 /** The same while the balancer is lagging. */
-constexpr uint8_t kTriesBeforeQueueingWhenLagging = 2;
+constexpr size_t kTriesBeforeQueueingWhenLagging = 2;
 /** Gap between two ticks beyond which the balancer counts as lagging. */
 constexpr Duration kLateTickGap = Milliseconds(60);
 /** Time for which it counts as lagging after such a gap. */
@@ -145,7 +145,7 @@
     return m_steps;
   }
   Flow* flow = m_flows.Find(key);
-  const AgentState* agent = flow ? m_agents.Find(flow->m_agentIp) : nullptr;
+  const AgentState* agent = flow ? m_agents.Find(flow->m_agent) : nullptr;
   if (!aHeader.IsSyn()) {
     bool isLost =
       agent && m_resetsLostFlows && m_reachability.IsUnreachable(aNow, *agent);
@@ -156,9 +156,8 @@
     }
     return m_steps;
   }
-  bool isRetransmission =
-    agent && flow->m_sawSyn && flow->m_synSeq == aHeader.m_seq;
-  if (isRetransmission &&
+  bool isCopy = flow && flow->m_sawSyn && flow->m_synSeq == aHeader.m_seq;
+  if (isCopy && agent &&
       m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
     // The earlier SYN or its answer was lost.
     Forward(key, *agent, FlowReason::Known);
@@ -169,10 +168,10 @@
     m_undecided.Forget(key);
   }
   Flow newFlow = NewFlow(aHeader.m_seq);
-  if (isRetransmission) {
-    newFlow.m_tried[newFlow.m_tryCount++] = agent->m_entry.m_packets.m_ip;
+  if (isCopy && flow->m_agent.IsKnown()) {
+    newFlow.m_tried.push_back(flow->m_agent);
   }
-  m_flows.Insert(key, newFlow);
+  m_flows.Insert(key, std::move(newFlow));
   PlaceFlow(aNow, aHeader, *route, false);
   return m_steps;
 }
@@ -222,9 +221,9 @@
   Flow* flow = m_flows.Find(key);
   const std::string& service = ChooseTarget(aRoute, key);
   std::vector<PlacementCandidate> candidates = CandidatesFor(
-    aNow, service, *flow, { flow->m_tried.data(), flow->m_tryCount });
+    aNow, service, *flow, { flow->m_tried.data(), flow->m_tried.size() });
   std::optional<PlacementChoice> choice = ChoosePlacement(candidates, m_random);
-  if (!choice && flow->m_tryCount > 0 && flow->m_tryCount < kMaxTries) {
+  if (!choice && !flow->m_tried.empty() && flow->m_tried.size() < kMaxTries) {
     // All candidates were tried; one that was only full may queue the SYN.
     candidates = CandidatesFor(aNow, service, *flow, {});
     choice = ChoosePlacement(candidates, m_random);
@@ -233,10 +232,10 @@
     return RefuseFlow(aNow, aHeader, service);
   }
   const PlacementCandidate& chosen = candidates[choice->m_index];
-  const AgentState& agent = *m_agents.Find(chosen.m_agentIp);
-  flow->m_agentIp = chosen.m_agentIp;
+  const AgentState& agent = *m_agents.Find(chosen.m_agent);
+  flow->m_agent = chosen.m_agent;
   flow->m_placedAt = aNow;
-  m_agents.OnFlowPlaced(chosen.m_agentIp);
+  m_agents.OnFlowPlaced(chosen.m_agent);
   Forward(key, agent, aIsAgain ? FlowReason::PlacedAgain : FlowReason::Placed);
   BalancerStep& step = m_steps.back();
   step.m_candidateCount = static_cast<uint32_t>(candidates.size());
@@ -244,7 +243,7 @@
   if (agent.m_lastReport) {
     step.m_loadAge = aNow - *agent.m_lastReport;
   }
-  uint32_t limit = BusyLimit(aNow, choice->m_busyLimit, flow->m_tryCount);
+  uint32_t limit = BusyLimit(aNow, choice->m_busyLimit, flow->m_tried.size());
   step.m_mark = MarkFor(aRoute, limit).Pack();
 }
 
@@ -254,18 +253,18 @@
 FlowBalancer::CandidatesFor(TimePoint aNow,
                             const std::string& aService,
                             const Flow& aFlow,
-                            std::span<const uint32_t> aTried) const
+                            std::span<const AgentId> aTried) const
 {
   std::vector<PlacementCandidate> candidates =
     m_agents.Candidates(aNow, aService, aTried);
-  for (size_t i = 0; i < aFlow.m_tryCount; ++i) {
+  for (size_t i = 0; i < aFlow.m_tried.size(); ++i) {
     const AgentState* tried = m_agents.Find(aFlow.m_tried[i]);
     bool isEvacuated = (aFlow.m_evacuatedTries >> i & 1U) != 0;
     if (!tried || !isEvacuated) {
       continue;
     }
     std::erase_if(candidates, [&](const PlacementCandidate& aCandidate) {
-      const AgentState& agent = *m_agents.Find(aCandidate.m_agentIp);
+      const AgentState& agent = *m_agents.Find(aCandidate.m_agent);
       return agent.m_entry.m_domain == tried->m_entry.m_domain;
     });
   }
@@ -276,14 +275,14 @@
 // balancer therefore lets the agent queue the SYN earlier: that wait is shorter
 // than the delay that a longer queue at the balancer would add to all flows.
 uint32_t
-FlowBalancer::BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const
+FlowBalancer::BusyLimit(TimePoint aNow, uint32_t aChosen, size_t aTries) const
 {
   bool isLagging = aNow < m_laggingUntil;
   if (aTries >=
       (isLagging ? kTriesBeforeQueueingWhenLagging : kTriesBeforeQueueing)) {
     return kNoBusyLimit;
   }
-  return isLagging ? aChosen + aTries + 1 : aChosen;
+  return isLagging ? aChosen + static_cast<uint32_t>(aTries) + 1 : aChosen;
 }
 
 void
@@ -330,8 +329,8 @@
   }
   Flow* flow = m_flows.Find(key);
   if (!aHeader.IsSyn()) {
-    if (flow && flow->m_agentIp == aAgentIp) {
-      flow->m_agentIp = 0;
+    if (flow && flow->m_agent.m_ip == aAgentIp) {
+      flow->m_agent = {};
     }
     if (m_searches.Contains(key)) {
       ApplySearchStep(aNow, m_searches.OnReturned(aNow, key, aAgentIp, aBytes));
@@ -340,25 +339,25 @@
     }
     return m_steps;
   }
-  m_agents.OnReturnedSyn(
-    aAgentIp, aReason, LoadTag::Unpack(aHeader.m_tag).m_busy);
+  AgentId agent = AgentAt(aAgentIp);
+  m_agents.OnReturnedSyn(agent, aReason, LoadTag::Unpack(aHeader.m_tag).m_busy);
   if (!flow || flow->m_synSeq != aHeader.m_seq) {
     m_flows.Insert(key, NewFlow(aHeader.m_seq));
     flow = m_flows.Find(key);
   }
-  if (flow->m_agentIp != 0 && flow->m_agentIp != aAgentIp) {
+  if (flow->m_agent.IsKnown() && flow->m_agent.m_ip != aAgentIp) {
     // A retransmission of the SYN has been placed at another agent meanwhile.
     AddStep(FlowBalancerAction::Drop, FlowReason::Known, key);
     return m_steps;
   }
-  if (flow->m_tryCount >= kMaxTries) {
+  if (flow->m_tried.size() >= kMaxTries) {
     RefuseFlow(aNow, aHeader, ChooseTarget(*route, key));
     return m_steps;
   }
   if (aReason == ReturnReason::Evacuated) {
-    flow->m_evacuatedTries |= static_cast<uint8_t>(1U << flow->m_tryCount);
+    flow->m_evacuatedTries |= static_cast<uint8_t>(1U << flow->m_tried.size());
   }
-  flow->m_tried[flow->m_tryCount++] = aAgentIp;
+  flow->m_tried.push_back(agent);
   PlaceFlow(aNow, aHeader, *route, true);
   return m_steps;
 }
@@ -384,11 +383,14 @@
   scope.m_isComplete = IsAgentListComplete(aNow);
   for (const auto& [service, agents] : m_agents.ByService()) {
     bool isLikely = likely.contains(service);
-    std::vector<uint32_t>& group = isLikely ? scope.m_agents : scope.m_others;
-    group.insert(group.end(), agents.begin(), agents.end());
+    std::vector<AgentId>& group = isLikely ? scope.m_agents : scope.m_others;
+    uint32_t tag = ServiceTag(service);
+    for (uint32_t ip : agents) {
+      group.push_back({ ip, tag });
+    }
   }
-  std::erase(scope.m_agents, aDenyingIp);
-  std::erase(scope.m_others, aDenyingIp);
+  EraseAddress(scope.m_agents, aDenyingIp);
+  EraseAddress(scope.m_others, aDenyingIp);
   return scope;
 }
 
@@ -408,11 +410,12 @@
   if (scope.m_agents.empty()) {
     std::swap(scope.m_agents, scope.m_others);
   }
-  bool isLost =
-    wereAllAsked && scope.m_isComplete &&
-    std::all_of(scope.m_agents.begin(),
-                scope.m_agents.end(),
-                [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); });
+  bool isLost = wereAllAsked && scope.m_isComplete &&
+                std::all_of(scope.m_agents.begin(),
+                            scope.m_agents.end(),
+                            [&](const AgentId& aAgent) {
+                              return IsUnreachable(aNow, aAgent);
+                            });
   if (isLost) {
     SearchStep lost;
     lost.m_flow = key;
@@ -442,7 +445,9 @@
               aStep.m_flow,
               aStep.m_ack);
       m_agents.OnQueried(aNow, aStep.m_agents);
-      m_steps.back().m_queriedAgents = std::move(aStep.m_agents);
+      for (const AgentId& agent : aStep.m_agents) {
+        m_steps.back().m_queriedAgents.push_back(agent.m_ip);
+      }
       return;
     case SearchAction::Lost:
       return EndLostFlow(aNow, std::move(aStep));
@@ -498,12 +503,13 @@
   if (!undecided) {
     return false;
   }
-  const std::vector<uint32_t>& unanswered = undecided->m_unanswered;
-  auto hasDenied = [&](uint32_t aIp) {
+  const std::vector<AgentId>& unanswered = undecided->m_unanswered;
+  auto hasDenied = [&](const AgentId& aAgent) {
     bool isUnanswered =
-      std::find(unanswered.begin(), unanswered.end(), aIp) != unanswered.end();
+      std::find(unanswered.begin(), unanswered.end(), aAgent) !=
+      unanswered.end();
     return !isUnanswered &&
-           m_agents.Find(aIp)->m_addedAt < undecided->m_searchedAt;
+           m_agents.Find(aAgent)->m_addedAt < undecided->m_searchedAt;
   };
   std::erase_if(aScope.m_agents, hasDenied);
   if (undecided->m_wereOthersQueried) {
@@ -516,37 +522,44 @@
          !m_agents.HasAgentAddedSince(undecided->m_searchedAt);
 }
 
+AgentId
+FlowBalancer::AgentAt(uint32_t aIp) const
+{
+  const AgentState* agent = m_agents.FindAt(aIp);
+  return agent ? agent->Id() : AgentId{ aIp, 0 };
+}
+
 bool
-FlowBalancer::IsUnreachable(TimePoint aNow, uint32_t aAgentIp)
+FlowBalancer::IsUnreachable(TimePoint aNow, const AgentId& aAgent)
 {
-  const AgentState* agent = m_agents.Find(aAgentIp);
+  const AgentState* agent = m_agents.Find(aAgent);
   return agent && m_reachability.IsUnreachable(aNow, *agent);
 }
 
 // One caller waits for an agent that is gone, and not each.
 bool
-FlowBalancer::IsUnresponsive(TimePoint aNow, uint32_t aAgentIp)
+FlowBalancer::IsUnresponsive(TimePoint aNow, const AgentId& aAgent)
 {
-  const AgentState* agent = m_agents.Find(aAgentIp);
+  const AgentState* agent = m_agents.Find(aAgent);
   return agent && agent->m_queriedAt &&
          aNow - *agent->m_queriedAt > kUnresponsiveAfter &&
          m_reachability.IsUnreachable(aNow, *agent);
 }
 
 void
-FlowBalancer::OnLateAnswer(uint32_t aAgentIp, const FlowAnswer& aAnswer)
+FlowBalancer::OnLateAnswer(const AgentId& aAgent, const FlowAnswer& aAnswer)
 {
   const FlowKey& key = aAnswer.m_flow;
-  if (!m_undecided.IsUnanswered(key, aAgentIp)) {
+  if (!m_undecided.IsUnanswered(key, aAgent.m_ip)) {
     return;
   }
   if (aAnswer.m_ownership == FlowOwnership::No) {
-    m_undecided.OnDenied(key, aAgentIp);
+    m_undecided.OnDenied(key, aAgent.m_ip);
   } else if (aAnswer.m_ownership == FlowOwnership::Yes) {
     m_undecided.Forget(key);
     Flow flow;
-    flow.m_agentIp = aAgentIp;
-    m_flows.Insert(key, flow);
+    flow.m_agent = aAgent;
+    m_flows.Insert(key, std::move(flow));
   }
 }
 
@@ -555,12 +568,12 @@
 {
   m_searchTimes.Add(aStep.m_elapsed);
   Flow flow;
-  flow.m_agentIp = aStep.m_agentIp;
-  m_flows.Insert(aStep.m_flow, flow);
-  const AgentState* agent = m_agents.Find(aStep.m_agentIp);
+  flow.m_agent = aStep.m_agent;
+  m_flows.Insert(aStep.m_flow, std::move(flow));
+  const AgentState* agent = m_agents.Find(aStep.m_agent);
   for (std::vector<uint8_t>& packet : aStep.m_heldPackets) {
     if (!agent) {
-      // The agent was evicted during the search.
+      // The agent was evicted or replaced during the search.
       AddStep(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
       continue;
     }
@@ -573,8 +586,8 @@
 void
 FlowBalancer::ForwardToCandidates(const SearchStep& aStep)
 {
-  for (uint32_t ip : aStep.m_agents) {
-    const AgentState* agent = m_agents.Find(ip);
+  for (const AgentId& id : aStep.m_agents) {
+    const AgentState* agent = m_agents.Find(id);
     for (const std::vector<uint8_t>& packet : aStep.m_heldPackets) {
       if (agent) {
         Forward(aStep.m_flow, *agent, FlowReason::Tried);
@@ -591,12 +604,13 @@
 {
   m_steps.clear();
   AccountForPause(aNow);
-  m_agents.OnAnswered(aAgentIp);
+  AgentId agent = AgentAt(aAgentIp);
+  m_agents.OnAnswered(agent);
   if (m_resetsLostFlows && !m_searches.Contains(aAnswer.m_flow)) {
-    OnLateAnswer(aAgentIp, aAnswer);
+    OnLateAnswer(agent, aAnswer);
     return m_steps;
   }
-  ApplySearchStep(aNow, m_searches.OnAnswer(aNow, aAgentIp, aAnswer));
+  ApplySearchStep(aNow, m_searches.OnAnswer(aNow, agent, aAnswer));
   return m_steps;
 }
 
@@ -657,8 +671,12 @@
   if (m_resetsLostFlows) {
     m_reachability.OnTick(aNow);
     m_undecided.OnTick(aNow);
-    isUnreachable = [&](uint32_t aIp) { return IsUnreachable(aNow, aIp); };
-    isUnresponsive = [&](uint32_t aIp) { return IsUnresponsive(aNow, aIp); };
+    isUnreachable = [&](const AgentId& aAgent) {
+      return IsUnreachable(aNow, aAgent);
+    };
+    isUnresponsive = [&](const AgentId& aAgent) {
+      return IsUnresponsive(aNow, aAgent);
+    };
   }
   for (SearchStep& step :
        m_searches.OnTick(aNow, isUnreachable, isUnresponsive)) {
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -179,16 +179,17 @@
 
   struct Flow
   {
-    uint32_t m_agentIp = 0;
+    /** Agent of the flow, as this process placed or found it; not known while
+     * the flow has none. */
+    AgentId m_agent;
     /** Sequence number of the SYN and time of the placement; valid if m_sawSyn.
      */
     uint32_t m_synSeq = 0;
     TimePoint m_placedAt;
     bool m_sawSyn = false;
-    uint8_t m_tryCount = 0;
-    /** Agents that returned the SYN or stopped reporting; the first m_tryCount
-     * entries are valid. */
-    std::array<uint32_t, kMaxTries> m_tried{};
+    /** Agents that returned the SYN, stopped reporting or are gone; at most
+     * kMaxTries. */
+    std::vector<AgentId> m_tried;
     /** Bit i is set if m_tried[i] is in an evacuated failure domain. */
     uint8_t m_evacuatedTries = 0;
   };
@@ -203,16 +204,19 @@
                  const PacketHeader& aHeader,
                  const Route& aRoute,
                  bool aIsAgain);
+  /** Returns the agent that has an address now; without a service if there is
+   * none. */
+  AgentId AgentAt(uint32_t aIp) const;
   /** Returns the m_busyLimit for a SYN: the number of busy flows at which the
    * agent returns it. */
-  uint32_t BusyLimit(TimePoint aNow, uint32_t aChosen, uint8_t aTries) const;
+  uint32_t BusyLimit(TimePoint aNow, uint32_t aChosen, size_t aTries) const;
   /** As AgentList::Candidates, without the failure domains whose agents
    * returned the flow because they are evacuated. */
   std::vector<PlacementCandidate> CandidatesFor(
     TimePoint aNow,
     const std::string& aService,
     const Flow& aFlow,
-    std::span<const uint32_t> aTried) const;
+    std::span<const AgentId> aTried) const;
   /** Resets or drops a new flow that no server can accept. */
   void RefuseFlow(TimePoint aNow,
                   const PacketHeader& aHeader,
@@ -243,11 +247,11 @@
                      uint32_t aAck,
                      SearchScope& aScope);
   /** True if an agent counts as unreachable; an evicted one does not. */
-  bool IsUnreachable(TimePoint aNow, uint32_t aAgentIp);
+  bool IsUnreachable(TimePoint aNow, const AgentId& aAgent);
   /** True if it also has not answered queries of earlier searches. */
-  bool IsUnresponsive(TimePoint aNow, uint32_t aAgentIp);
+  bool IsUnresponsive(TimePoint aNow, const AgentId& aAgent);
   /** Handles an answer that arrived after the search had ended. */
-  void OnLateAnswer(uint32_t aAgentIp, const FlowAnswer& aAnswer);
+  void OnLateAnswer(const AgentId& aAgent, const FlowAnswer& aAnswer);
   void ForwardToOwner(SearchStep aStep);
   void ForwardToCandidates(const SearchStep& aStep);
   bool IsAgentListComplete(TimePoint aNow) const;
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -82,20 +82,20 @@
 FlowSearches::End(TimePoint aNow,
                   Searches::iterator aFound,
                   SearchAction aAction,
-                  uint32_t aAgentIp)
+                  const AgentId& aAgent)
 {
   Search& search = aFound->second;
   SearchStep step;
   step.m_action = aAction;
   step.m_flow = aFound->first;
   step.m_ack = search.m_ack;
-  step.m_agentIp = aAgentIp;
+  step.m_agent = aAgent;
   step.m_heldPackets = std::move(search.m_heldPackets);
   step.m_elapsed = aNow - search.m_startedAt;
   m_unansweredCount -= search.m_unanswered.size();
   step.m_unanswered = std::move(search.m_unanswered);
   step.m_wereOthersQueried = search.m_wereOthersQueried;
-  for (const std::vector<uint32_t>* candidates :
+  for (const std::vector<AgentId>* candidates :
        { &search.m_untried, &search.m_trying }) {
     step.m_unanswered.insert(
       step.m_unanswered.end(), candidates->begin(), candidates->end());
@@ -151,13 +151,14 @@
   }
   return End(aNow,
              aFound,
-             search.m_isComplete ? SearchAction::Lost : SearchAction::GiveUp,
-             0);
+             search.m_isComplete ? SearchAction::Lost : SearchAction::GiveUp);
 }
 
+// A denial holds for each agent that has had the address: if a flow was at an
+// earlier one, its server is gone.
 SearchStep
 FlowSearches::OnAnswer(TimePoint aNow,
-                       uint32_t aAgentIp,
+                       const AgentId& aAgent,
                        const FlowAnswer& aAnswer)
 {
   auto found = m_searches.find(aAnswer.m_flow);
@@ -166,16 +167,16 @@
   }
   Search& search = found->second;
   if (aAnswer.m_ownership == FlowOwnership::Yes) {
-    return End(aNow, found, SearchAction::Found, aAgentIp);
+    return End(aNow, found, SearchAction::Found, aAgent);
   }
   // An agent that was queried twice answers twice.
-  bool isFirst = std::erase(search.m_unanswered, aAgentIp) > 0;
+  bool isFirst = EraseAddress(search.m_unanswered, aAgent.m_ip) > 0;
   if (!isFirst) {
     return {};
   }
   m_unansweredCount -= 1;
   if (aAnswer.m_ownership == FlowOwnership::Possible) {
-    search.m_untried.push_back(aAgentIp);
+    search.m_untried.push_back(aAgent);
   }
   return Advance(aNow, found);
 }
@@ -190,7 +191,7 @@
 {
   auto found = m_searches.find(aFlow);
   Search& search = found->second;
-  bool wasTried = std::erase(search.m_trying, aAgentIp) > 0;
+  bool wasTried = EraseAddress(search.m_trying, aAgentIp) > 0;
   if (search.m_trying.empty()) {
     HoldPacket(aFlow, aBytes);
   }
@@ -199,7 +200,7 @@
 
 SearchStep
 FlowSearches::Query(Searches::iterator aFound,
-                    const std::vector<uint32_t>& aAgents)
+                    const std::vector<AgentId>& aAgents)
 {
   SearchStep step;
   step.m_action = SearchAction::Query;
@@ -242,7 +243,7 @@
   if (since > kTryTimeout) {
     bool isDecided =
       search.m_trying.size() == 1 && !search.m_heldPackets.empty();
-    uint32_t last = search.m_trying.front();
+    AgentId last = search.m_trying.front();
     return End(aNow,
                aFound,
                isDecided ? SearchAction::Found : SearchAction::GiveUp,
@@ -259,7 +260,7 @@
 FlowSearches::IsOnlyAwaiting(const Search& aSearch,
                              const AgentPredicate& aHasProperty)
 {
-  auto haveProperty = [&](const std::vector<uint32_t>& aAgents) {
+  auto haveProperty = [&](const std::vector<AgentId>& aAgents) {
     return std::all_of(aAgents.begin(), aAgents.end(), aHasProperty);
   };
   return aHasProperty && aSearch.m_isComplete &&
@@ -277,14 +278,14 @@
   Duration age = aNow - search.m_startedAt;
   bool hadTime = aNow - search.m_lastQueriedAt > kUnreachableAnswerTimeout;
   if (IsOnlyAwaiting(search, hadTime ? aIsUnreachable : aIsUnresponsive)) {
-    return search.m_wereOthersQueried ? End(aNow, aFound, SearchAction::Lost, 0)
+    return search.m_wereOthersQueried ? End(aNow, aFound, SearchAction::Lost)
                                       : QueryOthers(aNow, aFound);
   }
   if (!search.m_trying.empty()) {
     return CheckCandidates(aNow, aFound);
   }
   if (age > kSearchTimeout) {
-    return End(aNow, aFound, SearchAction::GiveUp, 0);
+    return End(aNow, aFound, SearchAction::GiveUp);
   }
   if (age > kQueryAgainAfter && !search.m_wasQueriedAgain) {
     search.m_wasQueriedAgain = true;
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AgentId.h"
 #include "FlowMessages.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -28,9 +29,9 @@
   /** Acknowledgement number of the caller's first packet. */
   uint32_t m_ack = 0;
   /** The agent that has the flow, if the action is Found. */
-  uint32_t m_agentIp = 0;
+  AgentId m_agent;
   /** Agents to query, or to forward the held packets to. */
-  std::vector<uint32_t> m_agents;
+  std::vector<AgentId> m_agents;
   /** Packets to forward to the agent that has the flow, or to each of m_agents.
    */
   std::vector<std::vector<uint8_t>> m_heldPackets;
@@ -38,22 +39,22 @@
   Duration m_elapsed{ 0 };
   /** Agents that were queried and neither confirmed nor denied the flow, if the
    * action is Lost or GiveUp. */
-  std::vector<uint32_t> m_unanswered;
+  std::vector<AgentId> m_unanswered;
   /** SearchScope::m_others were queried, if the action is Lost or GiveUp. */
   bool m_wereOthersQueried = true;
 };
 
 /** True for an agent whose answer a search need not wait for. */
-using AgentPredicate = std::function<bool(uint32_t aAgentIp)>;
+using AgentPredicate = std::function<bool(const AgentId& aAgent)>;
 
 /** The agents that a search covers. */
 struct SearchScope
 {
   /** The agents that are likely to have the flow. */
-  std::vector<uint32_t> m_agents;
+  std::vector<AgentId> m_agents;
   /** All other agents that may have it; queried once m_agents have denied it or
    * are unreachable. */
-  std::vector<uint32_t> m_others;
+  std::vector<AgentId> m_others;
   /** No other agent can have the flow. */
   bool m_isComplete = false;
 };
@@ -88,12 +89,11 @@
 
   /** Handles an agent's answer to a query. */
   SearchStep OnAnswer(TimePoint aNow,
-                      uint32_t aAgentIp,
+                      const AgentId& aAgent,
                       const FlowAnswer& aAnswer);
 
   /** Handles a packet that a candidate returned. Requires a search for the
-   * flow.
-   */
+   * flow. */
   SearchStep OnReturned(TimePoint aNow,
                         const FlowKey& aFlow,
                         uint32_t aAgentIp,
@@ -118,13 +118,13 @@
     bool m_wasQueriedAgain = false;
     bool m_wereOthersQueried = false;
     /** As SearchScope::m_others. */
-    std::vector<uint32_t> m_others;
+    std::vector<AgentId> m_others;
     /** Agents that have not answered yet. */
-    std::vector<uint32_t> m_unanswered;
+    std::vector<AgentId> m_unanswered;
     /** Candidates that have not got the packets yet. */
-    std::vector<uint32_t> m_untried;
+    std::vector<AgentId> m_untried;
     /** Candidates that got the packets and have not returned them. */
-    std::vector<uint32_t> m_trying;
+    std::vector<AgentId> m_trying;
     TimePoint m_triedAt;
     bool m_wereCandidatesQueried = false;
     /** Packets that were not forwarded yet. */
@@ -135,11 +135,11 @@
   SearchStep End(TimePoint aNow,
                  Searches::iterator aFound,
                  SearchAction aAction,
-                 uint32_t aAgentIp);
+                 const AgentId& aAgent = {});
   SearchStep TryCandidates(TimePoint aNow, Searches::iterator aFound);
   SearchStep Advance(TimePoint aNow, Searches::iterator aFound);
   static SearchStep Query(Searches::iterator aFound,
-                          const std::vector<uint32_t>& aAgents);
+                          const std::vector<AgentId>& aAgents);
   SearchStep QueryOthers(TimePoint aNow, Searches::iterator aFound);
   /** True if the limit allows that many further outstanding answers. */
   bool MayAwait(size_t aAnswers) const;
--- a/packages/flow/Placement.h
+++ b/packages/flow/Placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AgentId.h"
 #include "FlowMessages.h"
 
 #include <random>
@@ -10,7 +11,7 @@
 /** A backend server that can receive a new flow. */
 struct PlacementCandidate
 {
-  uint32_t m_agentIp = 0;
+  AgentId m_agent;
   bool m_isSameDomain = false;
   /** Last known number of flows with a waiting or running request. */
   uint32_t m_busy = 0;
--- a/packages/flow/UndecidedFlows.cpp
+++ b/packages/flow/UndecidedFlows.cpp
@@ -35,7 +35,7 @@
 UndecidedFlows::OnDenied(const FlowKey& aFlow, uint32_t aAgentIp)
 {
   if (UndecidedFlow* flow = m_flows.Find(aFlow)) {
-    std::erase(flow->m_unanswered, aAgentIp);
+    EraseAddress(flow->m_unanswered, aAgentIp);
   }
 }
 
@@ -43,9 +43,11 @@
 UndecidedFlows::IsUnanswered(const FlowKey& aFlow, uint32_t aAgentIp)
 {
   const UndecidedFlow* flow = m_flows.Find(aFlow);
-  return flow && std::find(flow->m_unanswered.begin(),
-                           flow->m_unanswered.end(),
-                           aAgentIp) != flow->m_unanswered.end();
+  return flow && std::any_of(flow->m_unanswered.begin(),
+                             flow->m_unanswered.end(),
+                             [aAgentIp](const AgentId& aAgent) {
+                               return aAgent.m_ip == aAgentIp;
+                             });
 }
 
 void
--- a/packages/flow/UndecidedFlows.h
+++ b/packages/flow/UndecidedFlows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AgentId.h"
 #include "FlowMessages.h"
 #include "GenerationMap.h"
 #include "Time.h"
@@ -18,7 +19,7 @@
   TimePoint m_searchedAt;
   TimePoint m_endedAt;
   /** Agents that have neither confirmed nor denied the flow. */
-  std::vector<uint32_t> m_unanswered;
+  std::vector<AgentId> m_unanswered;
   /** SearchScope::m_others were queried; otherwise none of them has denied the
    * flow. */
   bool m_wereOthersQueried = true;
@@ -27,7 +28,8 @@
 /**
  * The flows whose searches ended undecided, so that a further packet queries
  * only the agents that did not answer. An agent's denial stays valid when its
- * server restarts afterwards, because a restarted server has no earlier flows.
+ * server restarts afterwards, because a restarted server has no earlier flows,
+ * and when its address goes to another agent, because its server is gone then.
  */
 class UndecidedFlows
 {
--- a/test/FakeFlowNet.cpp
+++ b/test/FakeFlowNet.cpp
@@ -78,6 +78,28 @@
   aRun(server);
 }
 
+void
+FakeFlowNet::SendToBalancer(size_t aBalancer,
+                            std::function<void(FlowBalancer&)> aRun)
+{
+  SendDelayed([this, aBalancer, run = std::move(aRun)] {
+    ReceiveAtBalancer(aBalancer, run);
+  });
+}
+
+void
+FakeFlowNet::ReceiveAtBalancer(size_t aBalancer,
+                               const std::function<void(FlowBalancer&)>& aRun)
+{
+  Node& balancer = m_balancers[aBalancer];
+  if (m_now < balancer.m_pausedUntil) {
+    return Schedule(balancer.m_pausedUntil - m_now, [this, aBalancer, aRun] {
+      ReceiveAtBalancer(aBalancer, aRun);
+    });
+  }
+  aRun(*balancer.m_core);
+}
+
 void
 FakeFlowNet::RunFor(Duration aTime)
 {
@@ -123,11 +145,20 @@
   std::vector<AgentEntry> entries;
   for (const auto& [ip, server] : m_servers) {
     entries.push_back(
-      { server.m_service, server.m_domain, { ip, kPacketPort } });
+      { server.m_listedService, server.m_domain, { ip, kPacketPort } });
   }
   aCore.Agents().SetListed(m_now, m_position, entries);
 }
 
+void
+FakeFlowNet::ListAgentsEverywhere()
+{
+  m_position.m_revision += 1;
+  for (size_t i = 0; i < m_balancers.size(); ++i) {
+    ReceiveAtBalancer(i, [this](FlowBalancer& aCore) { ListAgents(aCore); });
+  }
+}
+
 uint32_t
 FakeFlowNet::AddServer(const std::string& aService,
                        const std::string& aDomain,
@@ -137,14 +168,12 @@
   Server& server = m_servers[ip];
   server.m_ip = ip;
   server.m_service = aService;
+  server.m_listedService = aService;
   server.m_domain = aDomain;
   server.m_slots = aSlots;
   RestartAgent(ip);
   Heartbeat(server);
-  m_position.m_revision += 1;
-  for (Node& balancer : m_balancers) {
-    ListAgents(*balancer.m_core);
-  }
+  ListAgentsEverywhere();
   return ip;
 }
 
@@ -196,6 +225,31 @@
   m_servers.at(aIp).m_isGone = true;
 }
 
+void
+FakeFlowNet::GiveAddress(uint32_t aIp,
+                         const std::string& aService,
+                         Duration aAfter,
+                         Duration aListedAfter)
+{
+  KillServer(aIp);
+  Schedule(aAfter, [this, aIp, aService, aListedAfter] {
+    m_servers.at(aIp).m_service = aService;
+    RestartServer(aIp);
+    RestartAgent(aIp);
+    SendHeartbeat(m_servers.at(aIp));
+    Schedule(aListedAfter, [this, aIp, aService] {
+      m_servers.at(aIp).m_listedService = aService;
+      ListAgentsEverywhere();
+    });
+  });
+}
+
+void
+FakeFlowNet::PauseBalancer(size_t aBalancer, Duration aTime)
+{
+  m_balancers[aBalancer].m_pausedUntil = m_now + aTime;
+}
+
 void
 FakeFlowNet::Drain(uint32_t aIp)
 {
@@ -259,6 +313,9 @@
   table.m_services = m_warmups;
   for (const Route& route : aRoutes) {
     table.m_routes[route.m_address] = route;
+    for (const RouteTarget& target : route.m_targets) {
+      m_everTargets[route.m_address].insert(target.m_service);
+    }
   }
   m_routes = std::make_shared<const RouteTable>(std::move(table));
   for (Node& balancer : m_balancers) {
@@ -303,17 +360,23 @@
     }
     ApplyDequeuedPackets(server);
     for (uint32_t balancerIp : due.m_reportRecipients) {
-      SendDelayed([this, balancerIp, report = due.m_report] {
-        AgentsAt(balancerIp).OnReport(m_now, report);
-      });
+      SendToBalancer(BalancerAt(balancerIp),
+                     [this, report = due.m_report](FlowBalancer& aCore) {
+                       aCore.Agents().OnReport(m_now, report);
+                     });
     }
     for (uint32_t balancerIp : due.m_loadRecipients) {
-      SendDelayed([this, balancerIp, agentIp = ip, load = due.m_load] {
-        AgentsAt(balancerIp).OnLoad(m_now, agentIp, load);
-      });
+      SendToBalancer(
+        BalancerAt(balancerIp),
+        [this, agentIp = ip, load = due.m_load](FlowBalancer& aCore) {
+          aCore.Agents().OnLoad(m_now, agentIp, load);
+        });
     }
   }
   for (size_t i = 0; i < m_balancers.size(); ++i) {
+    if (m_now < m_balancers[i].m_pausedUntil) {
+      continue;
+    }
     m_balancers[i].m_core->SetAgentsCurrent(m_now, m_areAgentsCurrent);
     ExecuteSteps(i, m_balancers[i].m_core->OnTick(m_now), {});
     SendSubscriptions(m_balancers[i]);
@@ -321,12 +384,6 @@
   Schedule(FlowAgent::kTick, [this] { Tick(); });
 }
 
-AgentList&
-FakeFlowNet::AgentsAt(uint32_t aBalancerIp)
-{
-  return m_balancers[BalancerAt(aBalancerIp)].m_core->Agents();
-}
-
 void
 FakeFlowNet::SendSubscriptions(Node& aBalancer)
 {
@@ -435,12 +492,9 @@
   // The fabric's hash over the balancers in rotation.
   size_t hash = flow.m_key.m_caller.m_port * size_t{ 2654435761U };
   size_t balancer = m_rotation[(hash >> 8) % m_rotation.size()];
-  SendDelayed([this, balancer, header] {
+  SendToBalancer(balancer, [this, balancer, header](FlowBalancer& aCore) {
     std::vector<uint8_t> bytes = ToBytes(header);
-    ExecuteSteps(
-      balancer,
-      m_balancers[balancer].m_core->OnCallerPacket(m_now, header, bytes),
-      header);
+    ExecuteSteps(balancer, aCore.OnCallerPacket(m_now, header, bytes), header);
   });
 }
 
@@ -480,10 +534,10 @@
   m_queryCount += 1;
   SendToAgent(aIp, [this, aIp, aQuery, aBalancer](auto& aServer) {
     FlowAnswer answer = aServer.m_agent->OnQuery(m_now, aQuery);
-    SendDelayed([this, aIp, answer, aBalancer] {
-      FlowBalancer& core = *m_balancers[aBalancer].m_core;
-      ExecuteSteps(aBalancer, core.OnAnswer(m_now, aIp, answer), {});
-    });
+    SendToBalancer(
+      aBalancer, [this, aIp, answer, aBalancer](FlowBalancer& aCore) {
+        ExecuteSteps(aBalancer, aCore.OnAnswer(m_now, aIp, answer), {});
+      });
   });
 }
 
@@ -553,14 +607,15 @@
   m_returnCount += 1;
   aHeader.m_tag = aServer.m_agent->Load(m_now).Pack();
   aHeader.m_flags &= static_cast<uint8_t>(~kBounced);
-  SendDelayed([this, aHeader, aBalancerIp, aReason, ip = aServer.m_ip] {
-    size_t balancer = BalancerAt(aBalancerIp);
-    std::vector<uint8_t> bytes = ToBytes(aHeader);
-    FlowBalancer& core = *m_balancers[balancer].m_core;
-    ExecuteSteps(balancer,
-                 core.OnReturnedPacket(m_now, aHeader, bytes, ip, aReason),
-                 aHeader);
-  });
+  size_t balancer = BalancerAt(aBalancerIp);
+  SendToBalancer(
+    balancer,
+    [this, aHeader, balancer, aReason, ip = aServer.m_ip](FlowBalancer& aCore) {
+      std::vector<uint8_t> bytes = ToBytes(aHeader);
+      ExecuteSteps(balancer,
+                   aCore.OnReturnedPacket(m_now, aHeader, bytes, ip, aReason),
+                   aHeader);
+    });
 }
 
 void
@@ -571,6 +626,9 @@
   }
   FlowKey key = aHeader.FlowFromCaller();
   if (aHeader.IsSyn()) {
+    bool isMisplaced =
+      !m_everTargets[key.m_service].contains(aServer.m_service);
+    m_misplacedSyns += isMisplaced ? 1 : 0;
     aServer.m_synCount += 1;
     ServerFlow& state = aServer.m_flowStates[key];
     if (state.m_seq == 0) {
--- a/test/FakeFlowNet.h
+++ b/test/FakeFlowNet.h
@@ -75,6 +75,16 @@
   void PauseServer(uint32_t aIp, Duration aTime);
   /** Stops the server and its agent without notice. */
   void KillServer(uint32_t aIp);
+  /** The server's VM is lost now, and aAfter later a VM with a server of
+   * another service starts at its address. The store has the earlier agent's
+   * entry for aListedAfter longer. */
+  void GiveAddress(uint32_t aIp,
+                   const std::string& aService,
+                   Duration aAfter,
+                   Duration aListedAfter);
+  /** Stops a balancer for aTime. Packets and messages to it are processed
+   * afterwards. */
+  void PauseBalancer(size_t aBalancer, Duration aTime);
   /** The server reports that it drains. */
   void Drain(uint32_t aIp);
   /** The server stops answering; its agent keeps running. */
@@ -115,6 +125,9 @@
   const std::vector<TimePoint>& FlowTimesAt(uint32_t aIp) const;
   FlowAgent& AgentAt(uint32_t aIp) { return *m_servers.at(aIp).m_agent; }
   const std::string& ServiceOf(uint32_t aIp) const;
+  /** Number of SYNs that reached a server of a service to which no version of
+   * the routes has sent their address. */
+  size_t MisplacedSyns() const { return m_misplacedSyns; }
   /** Largest number of requests that waited at one server at the same time. */
   size_t LongestQueue() const { return m_longestQueue; }
   /** Number of packets that agents returned to balancers. */
@@ -157,6 +170,8 @@
   {
     uint32_t m_ip = 0;
     std::string m_service;
+    /** Service of the entry in the store. */
+    std::string m_listedService;
     std::string m_domain;
     uint32_t m_slots = 4;
     uint64_t m_incarnation = 1;
@@ -178,6 +193,7 @@
   {
     uint32_t m_ip = 0;
     std::string m_domain;
+    TimePoint m_pausedUntil;
     std::unique_ptr<FlowBalancer> m_core;
   };
   struct Event
@@ -196,6 +212,12 @@
   /** As SendDelayed, to an agent; a killed one receives nothing. */
   void SendToAgent(uint32_t aIp, std::function<void(Server&)> aRun);
   void ReceiveAtAgent(uint32_t aIp, const std::function<void(Server&)>& aRun);
+  /** As SendDelayed, to a balancer; a paused one receives it afterwards. */
+  void SendToBalancer(size_t aBalancer,
+                      std::function<void(FlowBalancer&)> aRun);
+  void ReceiveAtBalancer(size_t aBalancer,
+                         const std::function<void(FlowBalancer&)>& aRun);
+  void ListAgentsEverywhere();
   void Tick();
   void Heartbeat(Server& aServer);
   void SendHeartbeat(Server& aServer);
@@ -226,7 +248,6 @@
                       uint16_t aLength);
   void RunQueuedRequests(Server& aServer);
   size_t BalancerAt(uint32_t aIp) const;
-  AgentList& AgentsAt(uint32_t aBalancerIp);
   void SendSubscriptions(Node& aBalancer);
 
   std::mt19937_64 m_random;
@@ -245,6 +266,9 @@
   std::vector<FakeFlow> m_flows;
   std::map<FlowKey, size_t> m_flowNumbers;
   RouteTablePointer m_routes;
+  /** Services that were targets of an address under any version. */
+  std::map<Endpoint, std::set<std::string>> m_everTargets;
+  size_t m_misplacedSyns = 0;
 };
 
 } // namespace bilberryfield
--- a/test/correctness/AgentReachability.cpp
+++ b/test/correctness/AgentReachability.cpp
@@ -72,7 +72,7 @@
 
   bool IsUnreachable(uint32_t aIp = kFirst)
   {
-    return m_reachability.IsUnreachable(m_now, *m_agents.Find(aIp));
+    return m_reachability.IsUnreachable(m_now, *m_agents.FindAt(aIp));
   }
 
   std::string m_firstDomain;
--- a/test/correctness/FlowPlacement.cpp
+++ b/test/correctness/FlowPlacement.cpp
@@ -20,7 +20,7 @@
 PlacementCandidate
 Candidate(bool aIsSameDomain, uint32_t aBusy, uint32_t aAnswerUs = 10'000)
 {
-  return { 1, aIsSameDomain, aBusy, 4, aAnswerUs };
+  return { { 1, 77 }, aIsSameDomain, aBusy, 4, aAnswerUs };
 }
 
 PlacementChoice
--- a/test/correctness/FlowSearch.cpp
+++ b/test/correctness/FlowSearch.cpp
@@ -1,7 +1,6 @@
 #include "FlowSearches.h"
 
 #include <criterion/criterion.h>
-#include <numeric>
 
 using namespace bilberryfield;
 
@@ -16,12 +15,21 @@
   return { { 0x64400001, aNumber }, { 0xC6120001, 443 } };
 }
 
+constexpr AgentId
+Agent(uint32_t aNumber)
+{
+  return { aNumber, 77 };
+}
+
+using Agents = std::vector<AgentId>;
+
 SearchScope
-ScopeOf(size_t aAgents)
+ScopeOf(uint32_t aAgents)
 {
   SearchScope scope;
-  scope.m_agents.resize(aAgents);
-  std::iota(scope.m_agents.begin(), scope.m_agents.end(), 1);
+  for (uint32_t number = 1; number <= aAgents; ++number) {
+    scope.m_agents.push_back(Agent(number));
+  }
   scope.m_isComplete = true;
   return scope;
 }
@@ -40,9 +48,10 @@
     m_searches.Start(kStart, FlowNumber(1), 7, kPacket, ScopeOf(3));
   }
 
-  SearchStep Answer(Duration aAt, uint32_t aAgentIp, FlowOwnership aOwnership)
+  SearchStep Answer(Duration aAt, uint32_t aNumber, FlowOwnership aOwnership)
   {
-    return m_searches.OnAnswer(kStart + aAt, aAgentIp, AnswerOf(aOwnership));
+    return m_searches.OnAnswer(
+      kStart + aAt, Agent(aNumber), AnswerOf(aOwnership));
   }
 
   FlowSearches m_searches;
@@ -60,7 +69,7 @@
   }
   SearchStep step = search.Answer(Milliseconds(400), 2, FlowOwnership::Yes);
   cr_assert(step.m_action == SearchAction::Found);
-  cr_assert_eq(step.m_agentIp, 2);
+  cr_assert(step.m_agent == Agent(2));
   cr_assert_eq(step.m_heldPackets.size(), 1);
 }
 
@@ -68,7 +77,7 @@
 {
   SearchAmongThree search;
   search.Answer(Milliseconds(2), 1, FlowOwnership::No);
-  std::vector<uint32_t> queried;
+  Agents queried;
   for (int i = 1; i < 40; ++i) {
     for (const SearchStep& step :
          search.m_searches.OnTick(kStart + i * Milliseconds(20))) {
@@ -76,7 +85,7 @@
       queried.insert(queried.end(), step.m_agents.begin(), step.m_agents.end());
     }
   }
-  cr_assert(queried == std::vector<uint32_t>({ 2, 3 }));
+  cr_assert(queried == Agents({ Agent(2), Agent(3) }));
 }
 
 Test(FlowSearch, EndsWithoutAResultWhenAnswersAreMissing)
@@ -99,7 +108,7 @@
 Test(FlowSearch, EndsWhenOnlyUnreachableAgentsHaveNotAnswered)
 {
   SearchAmongThree search;
-  auto isUnreachable = [](uint32_t aIp) { return aIp == 3; };
+  auto isUnreachable = [](const AgentId& aAgent) { return aAgent == Agent(3); };
   search.Answer(Milliseconds(2), 1, FlowOwnership::No);
   TimePoint at = kStart + Milliseconds(220);
   cr_assert(search.m_searches.OnTick(at, isUnreachable).empty());
@@ -107,7 +116,7 @@
   std::vector<SearchStep> steps = search.m_searches.OnTick(at, isUnreachable);
   cr_assert_eq(steps.size(), 1);
   cr_assert(steps[0].m_action == SearchAction::Lost);
-  cr_assert(steps[0].m_unanswered == std::vector<uint32_t>({ 3 }));
+  cr_assert(steps[0].m_unanswered == Agents({ Agent(3) }));
 }
 
 // The server of a flow must receive its packet soon, no matter how many agents
@@ -119,7 +128,7 @@
   search.Answer(Milliseconds(1), 2, FlowOwnership::No);
   SearchStep first = search.Answer(Milliseconds(2), 3, FlowOwnership::Possible);
   cr_assert(first.m_action == SearchAction::Try);
-  cr_assert(first.m_agents == std::vector<uint32_t>({ 1, 3 }));
+  cr_assert(first.m_agents == Agents({ Agent(1), Agent(3) }));
   cr_assert_eq(first.m_heldPackets.size(), 1);
   auto returnFrom = [&](uint32_t aAgentIp) {
     return search.m_searches.OnReturned(
@@ -144,10 +153,10 @@
     search.m_searches.OnTick(kStart + Milliseconds(40));
   cr_assert_eq(due.size(), 1);
   cr_assert(due[0].m_action == SearchAction::Query);
-  cr_assert(due[0].m_agents == std::vector<uint32_t>({ 2, 3 }));
+  cr_assert(due[0].m_agents == Agents({ Agent(2), Agent(3) }));
   SearchStep found = search.Answer(Milliseconds(42), 2, FlowOwnership::Yes);
   cr_assert(found.m_action == SearchAction::Found);
-  cr_assert_eq(found.m_agentIp, 2);
+  cr_assert(found.m_agent == Agent(2));
   cr_assert_eq(found.m_heldPackets.size(), 1);
 }
 
@@ -185,7 +194,7 @@
   cr_assert_leq(pending, 3000);
   // Answers allow further searches.
   for (uint32_t ip = 1; ip <= 50; ++ip) {
-    searches.OnAnswer(kStart, ip, AnswerOf(FlowOwnership::No));
+    searches.OnAnswer(kStart, Agent(ip), AnswerOf(FlowOwnership::No));
   }
   cr_assert(searches.Start(kStart, FlowNumber(2000), 0, kPacket, ScopeOf(50)));
 }
--- a/test/correctness/RestoredRevisions.cpp
+++ b/test/correctness/RestoredRevisions.cpp
@@ -50,8 +50,8 @@
   agents.SetListed(kStart, { 1, 60 }, { EntryAt(0x0A010001) });
   agents.SetListed(kStart, { 2, 40 }, { EntryAt(0x0A010002) });
   cr_assert(agents.Position() == (StorePosition{ 2, 40 }));
-  cr_assert_not(agents.Find(0x0A010001)->m_isListed);
-  cr_assert(agents.Find(0x0A010002)->m_isListed);
+  cr_assert_not(agents.FindAt(0x0A010001)->m_isListed);
+  cr_assert(agents.FindAt(0x0A010002)->m_isListed);
 }
 
 Test(RestoredRevisions, LateListOfAnEarlierEraChangesNothing)
@@ -60,7 +60,7 @@
   agents.SetListed(kStart, { 2, 40 }, { EntryAt(0x0A010002) });
   agents.SetListed(kStart, { 1, 60 }, { EntryAt(0x0A010001) });
   cr_assert(agents.Position() == (StorePosition{ 2, 40 }));
-  cr_assert_null(agents.Find(0x0A010001));
+  cr_assert_null(agents.FindAt(0x0A010001));
 }
 
 // Its VM may be gone: the copy is older than the removal of its entry.
--- a/test/correctness/Subscriptions.cpp
+++ b/test/correctness/Subscriptions.cpp
@@ -179,11 +179,11 @@
 {
   SubscribingBalancer many(3000, 1000);
   many.RunFor(Seconds(1));
-  const AgentState* agent = many.m_agents.Find(kFirstAgent);
+  const AgentState* agent = many.m_agents.FindAt(kFirstAgent);
   cr_assert(many.m_agents.IsReporting(many.m_now + Seconds(8), *agent));
   SubscribingBalancer few(12, 4);
   few.RunFor(Seconds(1), true);
-  agent = few.m_agents.Find(kFirstAgent);
+  agent = few.m_agents.FindAt(kFirstAgent);
   // One of two reports can be lost and the next one delayed.
   cr_assert(few.m_agents.IsReporting(few.m_now + Milliseconds(200), *agent));
   cr_assert_not(few.m_agents.IsReporting(few.m_now + Seconds(8), *agent));
@@ -234,7 +234,7 @@
   ServerLoad load;
   load.m_condition = ServerCondition::Ready;
   agents.OnLoad(kStart, kFirstAgent, load);
-  cr_assert_not(agents.Find(kFirstAgent)->m_lastReport.has_value());
+  cr_assert_not(agents.FindAt(kFirstAgent)->m_lastReport.has_value());
 }
 
 // Its entry may have been removed from the store while the agent was paused.
