Place a copy of a SYN packet under the routes in force

What callers saw: nothing yet; found while looking for what else a flow's entry was true of. A flow that was placed under an earlier version of the routes could be run as that version says after the newer one had taken effect.

Cause: a copy of a SYN packet went to the agent of its first transmission, whatever the route says by then. Copies come up to 600 ms after it.

Change: the copy stays only while its agent's service is a target of the route in force. Otherwise it is placed anew. If the first transmission did open the flow, its packets are foreign to the second server and are searched for, as for any flow that two servers have answered.

Result: MovedRoutes::ACopyOfASynPacketIsPlacedUnderTheRouteInForce failed before and passes.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -157,7 +157,8 @@
     return m_steps;
   }
   bool isCopy = flow && flow->m_sawSyn && flow->m_synSeq == aHeader.m_seq;
-  if (isCopy && agent &&
+  // The flow was placed under the routes of that time.
+  if (isCopy && agent && route->HasTarget(agent->m_entry.m_service) &&
       m_agents.IsAliveSince(aNow, *agent, flow->m_placedAt)) {
     // The earlier SYN or its answer was lost.
     Forward(key, *agent, FlowReason::Known);
--- a/packages/flow/RouteTable.cpp
+++ b/packages/flow/RouteTable.cpp
@@ -2,8 +2,19 @@
 
 #include "Rendezvous.h"
 
+#include <algorithm>
+
 namespace bilberryfield {
 
+bool
+Route::HasTarget(const std::string& aService) const
+{
+  return std::any_of(
+    m_targets.begin(), m_targets.end(), [&](const RouteTarget& aTarget) {
+      return aTarget.m_service == aService && aTarget.m_weight > 0;
+    });
+}
+
 const Route*
 RouteTable::Find(const Endpoint& aAddress) const
 {
--- a/packages/flow/RouteTable.h
+++ b/packages/flow/RouteTable.h
@@ -33,6 +33,9 @@
   /** Requests may run more than once. */
   bool m_isIdempotent = false;
 
+  /** True if the service receives a share of the new flows. */
+  bool HasTarget(const std::string& aService) const;
+
   bool operator==(const Route&) const = default;
 };
 
--- a/test/correctness/MovedRoutes.cpp
+++ b/test/correctness/MovedRoutes.cpp
@@ -217,6 +217,31 @@
   cr_assert(site.m_queried.contains(kCurrentAgent));
 }
 
+// Guards against flows that are run as an earlier version of the routes says,
+// after the newer one has had effect: the copy of a SYN packet stayed at the
+// agent of its first transmission.
+Test(MovedRoutes, ACopyOfASynPacketIsPlacedUnderTheRouteInForce)
+{
+  SearchingBalancer site;
+  site.m_balancer.SetRoutes(RoutesTo(1, { "desk" }));
+  const std::map<uint32_t, std::string> kServices = {
+    { kOtherAgent, "desk" }, { kCurrentAgent, "desk-next" }
+  };
+  for (const auto& [ip, service] : kServices) {
+    AgentReport report = ReadyReport({ ip, 8000 }, "a");
+    report.m_service = service;
+    site.m_balancer.Agents().OnReport(site.m_now, report);
+  }
+  PacketHeader syn = SynPacket();
+  site.Record(site.m_balancer.OnCallerPacket(site.m_now, syn, {}));
+  cr_assert_eq(site.m_forwardedTo, kOtherAgent);
+  site.m_balancer.SetRoutes(RoutesTo(2, { "desk-next" }));
+  site.m_now += Milliseconds(200);
+  syn.m_ack = 1;
+  site.Record(site.m_balancer.OnCallerPacket(site.m_now, syn, {}));
+  cr_assert_eq(site.m_forwardedTo, kCurrentAgent);
+}
+
 // Guards against a reset by a balancer that has just restarted and gets back a
 // packet that its earlier process forwarded.
 Test(MovedRoutes, AReturnedPacketIsDroppedBeforeTheRoutesAreLoaded)
