Apply a returned SYN packet to the agent that it was sent to

What callers saw: nothing yet; found by reading each place that acts on an agent's address. A server that had just got the address of another one could get no flows until its next report, and callers of a service with that server only were refused.

Cause: an agent returns a SYN packet for another service to the balancer, which then marked the agent that has the address now as draining. The packet was for the one before. After a restart of the balancer the service is not known at all.

Change: the condition is changed only for the agent that the flow was placed at, and not at all for an unknown flow that came back because of its service.

Result: AgentIdentity::AReturnForAnEarlierAgentSaysNothingOfThePresentOne and AReturnOfAnUnknownFlowForAnotherServiceSaysNothing failed before and pass.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -340,8 +340,15 @@
     }
     return m_steps;
   }
-  AgentId agent = AgentAt(aAgentIp);
-  m_agents.OnReturnedSyn(agent, aReason, LoadTag::Unpack(aHeader.m_tag).m_busy);
+  bool isOwn =
+    flow && flow->m_synSeq == aHeader.m_seq && flow->m_agent.m_ip == aAgentIp;
+  AgentId agent = isOwn ? flow->m_agent : AgentAt(aAgentIp);
+  // For which service an earlier process of this balancer sent the packet is
+  // not known.
+  if (isOwn || aReason != ReturnReason::WrongService) {
+    m_agents.OnReturnedSyn(
+      agent, aReason, LoadTag::Unpack(aHeader.m_tag).m_busy);
+  }
   if (!flow || flow->m_synSeq != aHeader.m_seq) {
     m_flows.Insert(key, NewFlow(aHeader.m_seq));
     flow = m_flows.Find(key);
--- /dev/null
+++ b/test/correctness/AgentIdentity.cpp
@@ -0,0 +1,106 @@
+#include "FlowAgent.h"
+#include "FlowBalancer.h"
+#include "FlowSamples.h"
+
+#include <criterion/criterion.h>
+
+using namespace bilberryfield;
+
+namespace {
+
+constexpr uint32_t kFirst = 0x0A010001;
+constexpr uint32_t kSecond = 0x0A010002;
+
+AgentReport
+ReportOf(const std::string& aService, uint32_t aIp)
+{
+  AgentReport report = ReadyReport({ aIp, 8000 }, "a");
+  report.m_service = aService;
+  return report;
+}
+
+AgentEntry
+EntryOf(const std::string& aService, uint32_t aIp)
+{
+  return { aService, "a", { aIp, 8000 } };
+}
+
+/** A packet of an open flow that no balancer knows. */
+PacketHeader
+FlowPacket()
+{
+  PacketHeader header = SynPacket();
+  header.m_flags = kAck;
+  header.m_ack = 5'001;
+  header.m_length = 100;
+  return header;
+}
+
+/** A balancer with the entries of two agents of "desk", complete for a second.
+ */
+struct RunningBalancer
+{
+  RunningBalancer()
+  {
+    m_balancer.EnableLostFlowResets();
+    m_balancer.SetRoutes(DeskRoutes());
+    m_balancer.Agents().SetListed(
+      m_now, { 1, 1 }, { EntryOf("desk", kFirst), EntryOf("desk", kSecond) });
+    for (int i = 0; i < 50; ++i) {
+      m_now += FlowBalancer::kTick;
+      m_balancer.SetAgentsCurrent(m_now, true);
+      m_balancer.OnTick(m_now);
+    }
+  }
+
+  std::vector<BalancerStep> SendPacket()
+  {
+    return m_balancer.OnCallerPacket(m_now, FlowPacket(), m_bytes);
+  }
+
+  std::vector<BalancerStep> Answer(uint32_t aIp, const FlowAnswer& aAnswer)
+  {
+    return m_balancer.OnAnswer(m_now, aIp, aAnswer);
+  }
+
+  std::vector<BalancerStep> Deny(uint32_t aIp)
+  {
+    return Answer(aIp, { FlowPacket().FlowFromCaller(), FlowOwnership::No });
+  }
+
+  AgentList& Agents() { return m_balancer.Agents(); }
+  size_t CandidatesOf(const std::string& aService)
+  {
+    return Agents().Candidates(m_now, aService, {}).size();
+  }
+
+  TimePoint m_now{ Seconds(100) };
+  std::vector<uint8_t> m_bytes = std::vector<uint8_t>(8);
+  FlowBalancer m_balancer{ "a", 1 };
+};
+
+} // namespace
+
+// Guards against a server that gets no flows because a SYN packet came back
+// that was for the agent which had its address before.
+Test(AgentIdentity, AReturnForAnEarlierAgentSaysNothingOfThePresentOne)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("desk", kFirst));
+  site.m_balancer.OnCallerPacket(site.m_now, SynPacket(), {});
+  site.Agents().OnReport(site.m_now, ReportOf("archive", kFirst));
+  site.m_balancer.OnReturnedPacket(
+    site.m_now, SynPacket(), {}, kFirst, ReturnReason::WrongService);
+  cr_assert_eq(site.CandidatesOf("archive"), 1);
+}
+
+// Guards against the same after a restart: the earlier process of the balancer
+// forwarded the packet.
+Test(AgentIdentity, AReturnOfAnUnknownFlowForAnotherServiceSaysNothing)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("desk", kFirst));
+  site.m_balancer.OnReturnedPacket(
+    site.m_now, SynPacket(), {}, kFirst, ReturnReason::WrongService);
+  cr_assert_eq(site.CandidatesOf("desk"), 1);
+}
