Do not take a packet for another service for a denial of the flow

What callers saw: nothing yet; found by reading. A balancer could reset an open flow of a living server.

Cause: a search forwards the packet to the agents that may have the flow. One that returned it because the balancer has another service for its address counted as one that does not have the flow.

Change: the search then ends without a result, and the next packet asks this agent again.

Result: AgentIdentity::ACandidateOfAnotherServiceHasNotDeniedTheFlow failed before and passes.

--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -334,7 +334,9 @@
       flow->m_agent = {};
     }
     if (m_searches.Contains(key)) {
-      ApplySearchStep(aNow, m_searches.OnReturned(aNow, key, aAgentIp, aBytes));
+      ApplySearchStep(
+        aNow,
+        m_searches.OnReturned(aNow, key, aAgentIp, aBytes, IsDenial(aReason)));
     } else {
       SearchFor(aNow, aHeader, aBytes, IsDenial(aReason) ? aAgentIp : 0);
     }
--- a/packages/flow/FlowSearches.cpp
+++ b/packages/flow/FlowSearches.cpp
@@ -1,6 +1,7 @@
 #include "FlowSearches.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bilberryfield {
 
@@ -96,7 +97,7 @@
   step.m_unanswered = std::move(search.m_unanswered);
   step.m_wereOthersQueried = search.m_wereOthersQueried;
   for (const std::vector<AgentId>* candidates :
-       { &search.m_untried, &search.m_trying }) {
+       { &search.m_untried, &search.m_trying, &search.m_undecided }) {
     step.m_unanswered.insert(
       step.m_unanswered.end(), candidates->begin(), candidates->end());
   }
@@ -149,9 +150,8 @@
   if (!search.m_wereOthersQueried) {
     return QueryOthers(aNow, aFound);
   }
-  return End(aNow,
-             aFound,
-             search.m_isComplete ? SearchAction::Lost : SearchAction::GiveUp);
+  bool isLost = search.m_isComplete && search.m_undecided.empty();
+  return End(aNow, aFound, isLost ? SearchAction::Lost : SearchAction::GiveUp);
 }
 
 // A denial holds for each agent that has had the address: if a flow was at an
@@ -187,10 +187,17 @@
 FlowSearches::OnReturned(TimePoint aNow,
                          const FlowKey& aFlow,
                          uint32_t aAgentIp,
-                         PacketBytes aBytes)
+                         PacketBytes aBytes,
+                         bool aIsDenial)
 {
   auto found = m_searches.find(aFlow);
   Search& search = found->second;
+  if (!aIsDenial) {
+    std::copy_if(search.m_trying.begin(),
+                 search.m_trying.end(),
+                 std::back_inserter(search.m_undecided),
+                 [&](const AgentId& aId) { return aId.m_ip == aAgentIp; });
+  }
   bool wasTried = EraseAddress(search.m_trying, aAgentIp) > 0;
   if (search.m_trying.empty()) {
     HoldPacket(aFlow, aBytes);
@@ -263,7 +270,7 @@
   auto haveProperty = [&](const std::vector<AgentId>& aAgents) {
     return std::all_of(aAgents.begin(), aAgents.end(), aHasProperty);
   };
-  return aHasProperty && aSearch.m_isComplete &&
+  return aHasProperty && aSearch.m_isComplete && aSearch.m_undecided.empty() &&
          haveProperty(aSearch.m_unanswered) && haveProperty(aSearch.m_trying) &&
          haveProperty(aSearch.m_untried);
 }
--- a/packages/flow/FlowSearches.h
+++ b/packages/flow/FlowSearches.h
@@ -92,12 +92,14 @@
                       const AgentId& aAgent,
                       const FlowAnswer& aAnswer);
 
-  /** Handles a packet that a candidate returned. Requires a search for the
-   * flow. */
+  /** Handles a packet that a candidate returned. Unless that is a denial, the
+   * search ends without a result if no agent has the flow. Requires a search
+   * for the flow. */
   SearchStep OnReturned(TimePoint aNow,
                         const FlowKey& aFlow,
                         uint32_t aAgentIp,
-                        PacketBytes aBytes);
+                        PacketBytes aBytes,
+                        bool aIsDenial);
 
   /** Returns the steps that are due because of timeouts. A complete search ends
    * with Lost if all agents that have not answered are unreachable and have had
@@ -125,6 +127,8 @@
     std::vector<AgentId> m_untried;
     /** Candidates that got the packets and have not returned them. */
     std::vector<AgentId> m_trying;
+    /** Candidates that returned the packets without denying the flow. */
+    std::vector<AgentId> m_undecided;
     TimePoint m_triedAt;
     bool m_wereCandidatesQueried = false;
     /** Packets that were not forwarded yet. */
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -104,3 +104,26 @@
     site.m_now, SynPacket(), {}, kFirst, ReturnReason::WrongService);
   cr_assert_eq(site.CandidatesOf("desk"), 1);
 }
+
+// Guards against a reset of a living flow because its packet was forwarded to
+// an agent with the service tag of the one that had its address before.
+Test(AgentIdentity, ACandidateOfAnotherServiceHasNotDeniedTheFlow)
+{
+  RunningBalancer site;
+  site.SendPacket();
+  site.Deny(kSecond);
+  site.Answer(kFirst,
+              { FlowPacket().FlowFromCaller(), FlowOwnership::Possible });
+  const auto& steps = site.m_balancer.OnReturnedPacket(
+    site.m_now, FlowPacket(), site.m_bytes, kFirst, ReturnReason::WrongService);
+  for (const BalancerStep& step : steps) {
+    cr_assert(step.m_action != FlowBalancerAction::Reset);
+  }
+  // The next packet asks it again.
+  bool isAskedAgain = false;
+  for (const BalancerStep& step : site.SendPacket()) {
+    const std::vector<uint32_t>& asked = step.m_queriedAgents;
+    isAskedAgain = std::find(asked.begin(), asked.end(), kFirst) != asked.end();
+  }
+  cr_assert(isAskedAgain);
+}
--- a/test/correctness/FlowSearch.cpp
+++ b/test/correctness/FlowSearch.cpp
@@ -132,7 +132,7 @@
   cr_assert_eq(first.m_heldPackets.size(), 1);
   auto returnFrom = [&](uint32_t aAgentIp) {
     return search.m_searches.OnReturned(
-      kStart + Milliseconds(4), FlowNumber(1), aAgentIp, kPacket);
+      kStart + Milliseconds(4), FlowNumber(1), aAgentIp, kPacket, true);
   };
   cr_assert(returnFrom(1).m_action == SearchAction::Wait);
   SearchStep last = returnFrom(3);
@@ -147,7 +147,7 @@
   search.Answer(Milliseconds(1), 2, FlowOwnership::Possible);
   search.Answer(Milliseconds(2), 3, FlowOwnership::Possible);
   search.m_searches.OnReturned(
-    kStart + Milliseconds(4), FlowNumber(1), 1, kPacket);
+    kStart + Milliseconds(4), FlowNumber(1), 1, kPacket, true);
   search.m_searches.HoldPacket(FlowNumber(1), kPacket);
   std::vector<SearchStep> due =
     search.m_searches.OnTick(kStart + Milliseconds(40));
