Send a flow's packets with the service tag that its agent answered

What callers saw: nothing yet; found by reading. While a balancer still had the entry of an earlier agent at an address, packets that it found the flow's own agent for came back from it.

Cause: an answer to a query did not say for which service it was given, so the balancer wrote the tag of its own entry for the address into the packet. An agent that has restarted takes only packets with its own tag.

Change: answers carry the service tag; it goes into the packets of the search and into the flow's entry. Answers of earlier builds have none, and earlier builds ignore it.

Result: AgentIdentity::ACandidateGetsPacketsWithTheServiceThatItAnswered failed before and passes.

--- a/packages/flow/FlowAgent.cpp
+++ b/packages/flow/FlowAgent.cpp
@@ -576,7 +576,7 @@
 FlowAnswer
 FlowAgent::OnQuery(TimePoint aNow, const FlowQuery& aQuery)
 {
-  FlowAnswer answer{ aQuery.m_flow, FlowOwnership::No };
+  FlowAnswer answer{ aQuery.m_flow, FlowOwnership::No, m_serviceTag };
   if (Flow* flow = m_flows.Find(aQuery.m_flow)) {
     answer.m_ownership = OwnershipOf(*flow, aQuery.m_ack);
   } else if (MayHaveUntrackedFlows(aNow) &&
--- a/packages/flow/FlowBalancer.cpp
+++ b/packages/flow/FlowBalancer.cpp
@@ -114,11 +114,20 @@
 FlowBalancer::Forward(const FlowKey& aFlow,
                       const AgentState& aAgent,
                       FlowReason aReason)
+{
+  ForwardTo(aFlow, aAgent.Id(), aAgent.m_entry.m_packets, aReason);
+}
+
+void
+FlowBalancer::ForwardTo(const FlowKey& aFlow,
+                        const AgentId& aAgent,
+                        const Endpoint& aPackets,
+                        FlowReason aReason)
 {
   AddStep(FlowBalancerAction::Forward, aReason, aFlow);
   BalancerStep& step = m_steps.back();
-  step.m_packets = aAgent.m_entry.m_packets;
-  step.m_agentIp = step.m_packets.m_ip;
+  step.m_packets = aPackets;
+  step.m_agentIp = aAgent.m_ip;
   step.m_tag = aAgent.m_serviceTag;
 }
 
@@ -580,27 +589,31 @@
   Flow flow;
   flow.m_agent = aStep.m_agent;
   m_flows.Insert(aStep.m_flow, std::move(flow));
-  const AgentState* agent = m_agents.Find(aStep.m_agent);
+  const AgentState* agent = m_agents.FindAt(aStep.m_agent.m_ip);
   for (std::vector<uint8_t>& packet : aStep.m_heldPackets) {
     if (!agent) {
-      // The agent was evicted or replaced during the search.
+      // The agent was evicted during the search.
       AddStep(FlowBalancerAction::Drop, FlowReason::Unowned, aStep.m_flow);
       continue;
     }
-    Forward(aStep.m_flow, *agent, FlowReason::Found);
+    ForwardTo(
+      aStep.m_flow, aStep.m_agent, agent->m_entry.m_packets, FlowReason::Found);
     m_steps.back().m_heldPacket = std::move(packet);
   }
 }
 
-// Packets that arrive after these are held until the search ends.
+// Packets that arrive after these are held until the search ends. An agent that
+// answered for another service than this process knows of gets them as well:
+// its report is still on its way.
 void
 FlowBalancer::ForwardToCandidates(const SearchStep& aStep)
 {
   for (const AgentId& id : aStep.m_agents) {
-    const AgentState* agent = m_agents.Find(id);
+    const AgentState* agent = m_agents.FindAt(id.m_ip);
     for (const std::vector<uint8_t>& packet : aStep.m_heldPackets) {
       if (agent) {
-        Forward(aStep.m_flow, *agent, FlowReason::Tried);
+        ForwardTo(
+          aStep.m_flow, id, agent->m_entry.m_packets, FlowReason::Tried);
         m_steps.back().m_heldPacket = packet;
       }
     }
@@ -615,6 +628,9 @@
   m_steps.clear();
   AccountForPause(aNow);
   AgentId agent = AgentAt(aAgentIp);
+  if (aAnswer.m_serviceTag != 0) {
+    agent.m_serviceTag = aAnswer.m_serviceTag;
+  }
   m_agents.OnAnswered(agent);
   if (m_resetsLostFlows && !m_searches.Contains(aAnswer.m_flow)) {
     OnLateAnswer(agent, aAnswer);
--- a/packages/flow/FlowBalancer.h
+++ b/packages/flow/FlowBalancer.h
@@ -258,6 +258,12 @@
   void Forward(const FlowKey& aFlow,
                const AgentState& aAgent,
                FlowReason aReason);
+  /** As Forward, with the service tag that the agent at the address answered.
+   */
+  void ForwardTo(const FlowKey& aFlow,
+                 const AgentId& aAgent,
+                 const Endpoint& aPackets,
+                 FlowReason aReason);
   void AddStep(FlowBalancerAction aAction,
                FlowReason aReason,
                const FlowKey& aFlow,
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -235,6 +235,9 @@
 {
   FlowKey m_flow;
   FlowOwnership m_ownership = FlowOwnership::No;
+  /** Service tag of the agent that answers; 0 from builds that do not send it.
+   */
+  uint32_t m_serviceTag = 0;
 
   bool operator==(const FlowAnswer&) const = default;
 
@@ -243,6 +246,7 @@
   {
     aVisitor("f", aSelf.m_flow);
     aVisitor("o", aSelf.m_ownership);
+    aVisitor.Optional("t", aSelf.m_serviceTag);
   }
 };
 
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -127,3 +127,26 @@
   }
   cr_assert(isAskedAgain);
 }
+
+// Guards against packets that the flow's own agent returns because the
+// balancer still has the entry of the earlier agent at its address.
+Test(AgentIdentity, ACandidateGetsPacketsWithTheServiceThatItAnswered)
+{
+  RunningBalancer site;
+  FlowAgentOptions options;
+  options.m_service = "archive";
+  options.m_packets = { kFirst, 8000 };
+  FlowAgent agent(options, site.m_now);
+  site.SendPacket();
+  site.Deny(kSecond);
+  FlowAnswer answer =
+    agent.OnQuery(site.m_now, { FlowPacket().FlowFromCaller(), 5'001 });
+  std::vector<BalancerStep> steps = site.Answer(kFirst, answer);
+  cr_assert_eq(steps.size(), 1);
+  cr_assert(steps[0].m_action == FlowBalancerAction::Forward);
+  PacketHeader packet = FlowPacket();
+  packet.m_tag = steps[0].m_tag;
+  AgentDecision decision =
+    agent.OnBalancerPacket(site.m_now, packet, site.m_bytes, 1);
+  cr_assert(decision.m_action == FlowAgentAction::Deliver);
+}
