Keep an agent that has reported when an older entry is listed again

What callers saw: nothing yet; found by reading. With each change of the store's list a server dropped out of the balancers' view for a moment, and SYN packets for the service that had its address before were sent to it and came back.

Cause: the list of the store replaced what an agent had reported of itself, whether its entry was newer or older than the report. The entry that an earlier agent has left at the address stays in the store until the present one can write its own, which takes long where the store rejects this VM.

Change: the list keeps the store's entry of each address beside the agent that has the address. Only an entry that is new in the list replaces an agent that has reported. An entry of a copy, from which the store was restored, does not replace one that is reporting. Without a report for ten seconds the store's entry counts again.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -32,19 +32,45 @@
   bool isFirst = !m_position.IsKnown();
   bool isFromCopy = m_position.IsKnown() && aPosition.m_era != m_position.m_era;
   m_position = aPosition;
+  std::set<uint32_t> listed;
+  for (const AgentEntry& entry : aEntries) {
+    SetListedEntry(aNow, entry, isFromCopy);
+    listed.insert(entry.m_packets.m_ip);
+  }
   for (auto& [ip, agent] : m_agents) {
-    agent.m_isListed = false;
+    if (!listed.contains(ip)) {
+      agent.m_listedEntry = std::nullopt;
+      agent.m_isListed = false;
+    }
+    agent.m_isInFirstList =
+      agent.m_isInFirstList || (isFirst && agent.m_isListed);
   }
-  for (const AgentEntry& entry : aEntries) {
-    AgentState& agent = Upsert(aNow, entry);
-    agent.m_isListed = true;
-    agent.m_mustReport = agent.m_mustReport || isFromCopy;
-    agent.m_isInFirstList = agent.m_isInFirstList || isFirst;
+}
+
+// A report comes from the agent that has the address. An entry that was in the
+// list before, or that is from a copy, may have been left by an earlier agent;
+// the present one has yet to replace it.
+void
+AgentList::SetListedEntry(TimePoint aNow,
+                          const AgentEntry& aEntry,
+                          bool aIsFromCopy)
+{
+  AgentState& known = m_agents[aEntry.m_packets.m_ip];
+  bool isOld =
+    known.m_listedEntry == aEntry || (aIsFromCopy && IsReporting(aNow, known));
+  bool isReported = known.m_lastReport && known.m_entry != aEntry;
+  known.m_listedEntry = aEntry;
+  if (isOld && isReported) {
+    known.m_isListed = false;
+    return;
   }
+  AgentState& agent = Upsert(aNow, aEntry);
+  agent.m_mustReport = agent.m_mustReport || aIsFromCopy;
 }
 
 // A different entry at the same address belongs to another server, so the
-// state of the earlier one is dropped.
+// state of the earlier one is dropped. The store's entry belongs to the
+// address.
 AgentState&
 AgentList::Upsert(TimePoint aNow, const AgentEntry& aEntry)
 {
@@ -52,13 +78,16 @@
   AgentState& agent = m_agents[ip];
   if (agent.m_entry != aEntry) {
     RemoveFromService(ip, agent.m_entry.m_service);
+    std::optional<AgentEntry> listed = std::move(agent.m_listedEntry);
     agent = AgentState{};
+    agent.m_listedEntry = std::move(listed);
     agent.m_entry = aEntry;
     agent.m_serviceTag = ServiceTag(aEntry.m_service);
     agent.m_isSameDomain = aEntry.m_domain == m_ownDomain;
     agent.m_addedAt = aNow;
     m_byService[aEntry.m_service].insert(ip);
   }
+  agent.m_isListed = agent.m_listedEntry == aEntry;
   return agent;
 }
 
@@ -228,6 +257,12 @@
       ++it;
       continue;
     }
+    if (agent.m_listedEntry) {
+      AgentEntry listed = *agent.m_listedEntry;
+      Upsert(aNow, listed).m_mustReport = true;
+      ++it;
+      continue;
+    }
     RemoveFromService(it->first, agent.m_entry.m_service);
     it = m_agents.erase(it);
   }
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -45,6 +45,10 @@
   uint32_t m_serviceTag = 0;
   /** The agent is in this balancer's failure domain. */
   bool m_isSameDomain = false;
+  /** The store's entry for the agent's address; empty if it has none. It can be
+   * that of an earlier agent. */
+  std::optional<AgentEntry> m_listedEntry;
+  /** The agent itself is in the store's list. */
   bool m_isListed = false;
   /** Gets no flows before its first report. */
   bool m_mustReport = false;
@@ -90,7 +94,8 @@
   }
 
   /** Replaces the store's list; a position that is not newer is ignored. Agents
-   * that are no longer listed stay until OnTick evicts them. */
+   * that are no longer listed stay until OnTick evicts them. An agent that has
+   * reported is replaced only by an entry that is new in the list. */
   void SetListed(TimePoint aNow,
                  const StorePosition& aPosition,
                  const std::vector<AgentEntry>& aEntries);
@@ -129,7 +134,8 @@
   /** Excludes a pause of this process from the time without reports. */
   void OnPause(Duration aPause);
 
-  /** Evicts agents that are neither listed nor reporting. */
+  /** Evicts agents that are neither listed nor reporting, in favour of the
+   * store's entry for the address if there is one. */
   void OnTick(TimePoint aNow);
 
   /** Servers that may get a new flow of a service, except those in aTried and
@@ -198,6 +204,9 @@
   AgentState& Upsert(TimePoint aNow, const AgentEntry& aEntry);
   /** As Find, to change its state. */
   AgentState* FindMutable(const AgentId& aAgent);
+  void SetListedEntry(TimePoint aNow,
+                      const AgentEntry& aEntry,
+                      bool aIsFromCopy);
   static void SetLoad(TimePoint aNow,
                       AgentState& aAgent,
                       const ServerLoad& aLoad);
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -150,3 +150,48 @@
     agent.OnBalancerPacket(site.m_now, packet, site.m_bytes, 1);
   cr_assert(decision.m_action == FlowAgentAction::Deliver);
 }
+
+// Guards against an agent that is replaced, in the balancer's list, by the
+// entry that its predecessor at the address has left in the store.
+Test(AgentIdentity, AnEntryThatWasThereBeforeDoesNotReplaceAReportedAgent)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("archive", kFirst));
+  site.Agents().SetListed(site.m_now,
+                          { 1, 2 },
+                          { EntryOf("desk", kFirst),
+                            EntryOf("desk", kSecond),
+                            EntryOf("desk", kSecond + 1) });
+  cr_assert_eq(site.CandidatesOf("archive"), 1);
+  cr_assert_not(site.Agents().FindAt(kFirst)->m_isListed);
+  // An entry that the store has got since is news.
+  site.Agents().SetListed(site.m_now, { 1, 3 }, { EntryOf("images", kFirst) });
+  cr_assert_eq(site.CandidatesOf("archive"), 0);
+  cr_assert_eq(site.CandidatesOf("images"), 1);
+}
+
+// Guards against the same after the store was restored from a copy: its entry
+// is older than the report.
+Test(AgentIdentity, AnEntryOfACopyDoesNotReplaceAReportedAgent)
+{
+  RunningBalancer site;
+  site.Agents().SetListed(site.m_now, { 1, 2 }, { EntryOf("archive", kFirst) });
+  site.Agents().OnReport(site.m_now, ReportOf("archive", kFirst));
+  site.Agents().SetListed(site.m_now, { 2, 1 }, { EntryOf("desk", kFirst) });
+  cr_assert_eq(site.CandidatesOf("archive"), 1);
+}
+
+// Guards against an address that no search asks, because the agent that had it
+// last has fallen silent and the store has another one's entry.
+Test(AgentIdentity, TheListedAgentReturnsWhenTheReportedOneIsEvicted)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("archive", kFirst));
+  site.m_now += Seconds(11);
+  site.Agents().OnTick(site.m_now);
+  const AgentState* agent = site.Agents().FindAt(kFirst);
+  cr_assert(agent);
+  cr_assert_eq(agent->m_entry.m_service, "desk");
+  cr_assert(agent->m_isListed);
+  cr_assert(agent->m_mustReport);
+}
