Pass on the store's list with the entries that reports have replaced

What callers saw: nothing yet; found by reading. A balancer that starts while it cannot read the store, and loads a peer's list, could reset open flows of a server that had recently got another one's address.

The peer took the list for the store's at that position, and so for complete.

Result: AgentIdentity::TheStoresListIsPassedOnWithAllAddresses fails with the earlier selection of entries and passes.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -47,6 +47,18 @@
   }
 }
 
+std::vector<AgentEntry>
+AgentList::ListedEntries() const
+{
+  std::vector<AgentEntry> entries;
+  for (const auto& [ip, agent] : m_agents) {
+    if (agent.m_listedEntry) {
+      entries.push_back(*agent.m_listedEntry);
+    }
+  }
+  return entries;
+}
+
 // A report comes from the agent that has the address. An entry that was in the
 // list before, or that is from a copy, may have been left by an earlier agent;
 // the present one has yet to replace it.
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -100,6 +100,10 @@
                  const StorePosition& aPosition,
                  const std::vector<AgentEntry>& aEntries);
 
+  /** The store's list as it was last read, whatever agents have reported since.
+   */
+  std::vector<AgentEntry> ListedEntries() const;
+
   /** True once a list of the store was received. */
   bool IsLoaded() const { return m_position.IsKnown(); }
   /** Position of the store's list; unknown before the first one. */
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -232,11 +232,7 @@
   }
   if (m_core.Agents().Position() > requested.m_agents) {
     snapshot.m_agentsPosition = m_core.Agents().Position();
-    for (const auto& [ip, agent] : m_core.Agents().All()) {
-      if (agent.m_isListed) {
-        snapshot.m_agents.push_back(agent.m_entry);
-      }
-    }
+    snapshot.m_agents = m_core.Agents().ListedEntries();
   }
   snapshot.m_evacuations = m_core.Agents().EvacuatedDomains().Latest();
   return { kHttpOk, EncodeSnapshot(snapshot) };
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -195,3 +195,18 @@
   cr_assert(agent->m_isListed);
   cr_assert(agent->m_mustReport);
 }
+
+// Guards against resets of flows at an agent that a peer's snapshot of the
+// store's list leaves out, because the agent has reported another service than
+// the entry at its address. The peer would take the list for complete.
+Test(AgentIdentity, TheStoresListIsPassedOnWithAllAddresses)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("archive", kFirst));
+  AgentList peer("a");
+  peer.SetListed(
+    site.m_now, site.Agents().Position(), site.Agents().ListedEntries());
+  cr_assert(peer.FindAt(kFirst));
+  cr_assert_eq(peer.FindAt(kFirst)->m_entry.m_service, "desk");
+  cr_assert(peer.FindAt(kSecond));
+}
