Remove an agent's entry only as long as it is that agent's

What callers saw: nothing yet; found by reading. A server that had just got another one's address could be missing from the store's list, and a balancer that started then could reset its open flows.

Cause: entries are named after addresses, and were removed and replaced whatever they held by then. A store can execute a write seconds after the call has failed. The removal by an agent that leaves, or by a balancer that has heard nothing of it, could so reach the entry of the next agent at the address.

Change: an agent remembers the position of its entry and removes it under the condition of that revision. Where the position is not known, and in a balancer, RemoveEntry reads the entry first and leaves another agent's. Replacing one has the condition of the entry that was found. This costs one read where a write had no answer, and for each stale entry.

--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -1,5 +1,6 @@
 #include "AgentRegistrar.h"
 
+#include "EntryRemoval.h"
 #include "Log.h"
 
 #include <algorithm>
@@ -84,7 +85,7 @@
         bool isConflict =
           write && write->m_outcome == StoreWrite::Outcome::Conflict;
         if (isConflict && !IsOwnEntry(write->m_object)) {
-          return Replace();
+          return Replace(write->m_object);
         }
         OnWriteFinished("agent-entry-stored", write, EntryState::Present);
       });
@@ -98,12 +99,12 @@
 }
 
 void
-AgentRegistrar::Replace()
+AgentRegistrar::Replace(const std::optional<StoreObject>& aOther)
 {
   m_store.Replace(kAgentKind,
                   m_entryName,
                   ToJson(m_entry),
-                  {},
+                  aOther ? aOther->m_position : StorePosition{},
                   [this](Result<StoreWrite> aWrite) {
                     m_loop.Post([this, write = std::move(aWrite)] {
                       bool isStored = write && write->m_outcome ==
@@ -116,14 +117,25 @@
                   });
 }
 
+// A store that was restored may have given the revision to another entry.
 void
 AgentRegistrar::Remove()
 {
-  m_store.Remove(kAgentKind, m_entryName, [this](Result<StoreWrite> aWrite) {
+  auto onEnd = [this](Result<StoreWrite> aWrite) {
     m_loop.Post([this, write = std::move(aWrite)] {
+      bool isConflict =
+        write && write->m_outcome == StoreWrite::Outcome::Conflict;
+      if (isConflict) {
+        m_storedAt = {};
+        return Remove();
+      }
       OnWriteFinished("agent-entry-removed", write, EntryState::Absent);
     });
-  });
+  };
+  if (m_storedAt.IsKnown() && m_storedAt.m_era == m_store.Era()) {
+    return m_store.Remove(kAgentKind, m_entryName, m_storedAt, onEnd);
+  }
+  RemoveEntry(m_store, m_entry, onEnd);
 }
 
 void
@@ -132,6 +144,9 @@
                                 EntryState aNewState)
 {
   m_isWriting = false;
+  bool hasPosition =
+    aNewState == EntryState::Present && aWrite && aWrite->m_object;
+  m_storedAt = hasPosition ? aWrite->m_object->m_position : StorePosition{};
   if (!aWrite) {
     // The write may have taken effect all the same.
     m_storedState = EntryState::Uncertain;
--- a/packages/flownode/AgentRegistrar.h
+++ b/packages/flownode/AgentRegistrar.h
@@ -45,7 +45,8 @@
   void Reconcile();
   void Create();
   bool IsOwnEntry(const std::optional<StoreObject>& aStored) const;
-  void Replace();
+  /** aOther is the entry of another agent that is in the store. */
+  void Replace(const std::optional<StoreObject>& aOther);
   void Remove();
   void OnWriteFinished(const char* aEvent,
                        const Result<StoreWrite>& aWrite,
@@ -59,6 +60,8 @@
   bool m_isDesired = false;
   bool m_isWriting = false;
   EntryState m_storedState = EntryState::Unknown;
+  /** Position of the own entry; unknown if its write was not answered. */
+  StorePosition m_storedAt;
   uint32_t m_consecutiveFailures = 0;
 };
 
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -1,5 +1,6 @@
 #include "BalancerDaemon.h"
 
+#include "EntryRemoval.h"
 #include "EvacuationReports.h"
 #include "HttpPaths.h"
 #include "HttpStatus.h"
@@ -561,8 +562,9 @@
   }
   for (uint32_t ip : m_core.Agents().ListedWithoutReports(
          EventLoop::Now(), m_settings.m_staleEntryAfter)) {
-    m_store.Client().Remove(
-      kAgentKind, IpToText(ip), [ip](const Result<StoreWrite>& aWrite) {
+    const AgentEntry& entry = m_core.Agents().FindAt(ip)->m_entry;
+    RemoveEntry(
+      m_store.Client(), entry, [ip](const Result<StoreWrite>& aWrite) {
         Log(aWrite ? LogLevel::Info : LogLevel::Warning,
             "stale-entry-removed",
             { { "agent", IpToText(ip) },
--- a/standins/FlowCluster.cpp
+++ b/standins/FlowCluster.cpp
@@ -275,7 +275,7 @@
   StoreClient store(m_storeAddress);
   RepeatUntilStored([&] {
     return WaitForStore<StoreWrite>([&](auto aOnEnd) {
-             store.Remove(kEvacuationObjects, aDomain, aOnEnd);
+             store.Remove(kEvacuationObjects, aDomain, {}, aOnEnd);
            })
       .has_value();
   });
--- a/standins/PlatformStandIn.cpp
+++ b/standins/PlatformStandIn.cpp
@@ -118,7 +118,10 @@
     return Answer(200, Store(aKind, aName, aObject));
   }
 
-  HttpOutgoing Remove(const std::string& aKind, const std::string& aName)
+  /** aRevision is the one that the object has to have; 0 for any. */
+  HttpOutgoing Remove(const std::string& aKind,
+                      const std::string& aName,
+                      uint64_t aRevision)
   {
     std::lock_guard lock(m_mutex);
     auto found = m_objects[aKind].find(aName);
@@ -126,6 +129,9 @@
       return Answer(404);
     }
     json object = found->second;
+    if (aRevision != 0 && object["meta"]["revision"] != aRevision) {
+      return Answer(409, object);
+    }
     m_objects[aKind].erase(found);
     Record(aKind, { { "removed", true }, { "object", object } });
     return Answer(200, object);
@@ -253,7 +259,8 @@
     return aObjects.Error(413);
   }
   if (aRequest.m_method == "DELETE") {
-    return aObjects.Remove(aKind, aName);
+    return aObjects.Remove(
+      aKind, aName, Number(aRequest.Parameter("revision")));
   }
   json body = json::parse(aRequest.m_body, nullptr, false);
   if (!body.is_object() || !body.contains("meta")) {
--- a/test/process/RestoredStore.cpp
+++ b/test/process/RestoredStore.cpp
@@ -219,7 +219,7 @@
   StoreClient store(cluster.StoreAddress());
   std::string name = "127.2.0.1";
   cr_assert(WaitForStore<StoreWrite>([&](auto aOnEnd) {
-              store.Remove(kAgentKind, name, aOnEnd);
+              store.Remove(kAgentKind, name, {}, aOnEnd);
             }).has_value());
   cr_assert_eq(cluster.ListedAgents().size(), 1);
   cluster.CopyStore();
@@ -241,7 +241,7 @@
   cluster.Agent(1).Kill();
   StoreClient store(cluster.StoreAddress());
   cr_assert(WaitForStore<StoreWrite>([&](auto aOnEnd) {
-              store.Remove(kAgentKind, "127.2.0.2", aOnEnd);
+              store.Remove(kAgentKind, "127.2.0.2", {}, aOnEnd);
             }).has_value());
   cluster.CopyStore();
   cluster.StartAgent(1);
