Do not take a load report for that of the earlier agent at the address

What callers saw: nothing yet; found by reading. While a server was gone and another service had its address, a balancer could go on sending it new flows, which came back, until its next subscription.

Cause: load reports name no service. An agent sends them once it has sent its full report. If that is lost, the balancer applied them to the agent that it knew at the address, which so seemed to report.

Change: load reports carry the service tag until the balancer has named the agent in a subscription; after that they are as short as before. A report with another tag is ignored and makes the balancer subscribe again, which brings the full report. Earlier builds ignore the field.

Also: the log tells an entry that was found changed from one that was removed.

Result: AgentIdentity::ALoadReportOfTheNextAgentIsNotTakenForTheEarlierOnes failed before and passes.

--- a/packages/flow/AgentList.cpp
+++ b/packages/flow/AgentList.cpp
@@ -138,9 +138,16 @@
   if (found == m_agents.end() || !found->second.m_lastReport) {
     return;
   }
-  found->second.m_lastReport = aNow;
-  found->second.m_queriedAt = std::nullopt;
-  SetLoad(aNow, found->second, aLoad);
+  AgentState& agent = found->second;
+  if (aLoad.m_serviceTag != 0 && aLoad.m_serviceTag != agent.m_serviceTag) {
+    // The full report of the next agent at the address was lost. A subscription
+    // that names the earlier one brings another.
+    agent.m_lastSubscription = std::nullopt;
+    return;
+  }
+  agent.m_lastReport = aNow;
+  agent.m_queriedAt = std::nullopt;
+  SetLoad(aNow, agent, aLoad);
 }
 
 void
--- a/packages/flow/AgentList.h
+++ b/packages/flow/AgentList.h
@@ -113,7 +113,8 @@
    * added if it is new. */
   void OnReport(TimePoint aNow, const AgentReport& aReport);
 
-  /** Handles a load report; ignored for an agent without a full report. */
+  /** Handles a load report; ignored for an agent without a full report, and if
+   * it is of another agent than the one that is known at the address. */
   void OnLoad(TimePoint aNow, uint32_t aAgentIp, const ServerLoad& aLoad);
 
   /** Records a subscription that was sent to an agent. */
--- a/packages/flow/FlowMessages.h
+++ b/packages/flow/FlowMessages.h
@@ -143,6 +143,9 @@
   /** Moving mean of the time from a flow's first packet, or from a later
    * request, to the answer; microseconds. */
   uint32_t m_answerUs = 0;
+  /** Service tag of the agent; 0 once the balancer has named it in a
+   * subscription. */
+  uint32_t m_serviceTag = 0;
 
   bool operator==(const ServerLoad&) const = default;
 
@@ -153,6 +156,7 @@
     aVisitor("b", aSelf.m_busy);
     aVisitor("n", aSelf.m_slots);
     aVisitor("u", aSelf.m_answerUs);
+    aVisitor.Optional("t", aSelf.m_serviceTag);
   }
 };
 
--- a/packages/flow/ReportSchedule.cpp
+++ b/packages/flow/ReportSchedule.cpp
@@ -52,8 +52,8 @@
   // the server's start.
   bool isStartNews = isNew && m_serverStartedAt &&
                      aNow - *m_serverStartedAt < kStartReportPeriod;
-  subscriber.m_hasAgentDetails =
-    aMessage.m_reportedTag == m_serviceTag && !isStartNews;
+  subscriber.m_hasNamedAgent = aMessage.m_reportedTag == m_serviceTag;
+  subscriber.m_hasAgentDetails = subscriber.m_hasNamedAgent && !isStartNews;
   subscriber.m_routes = aMessage.m_routes.m_version;
   subscriber.m_agents = aMessage.m_agents.m_version;
   subscriber.m_evacuations = aMessage.m_evacuations;
@@ -127,9 +127,14 @@
     if (!IsDue(aNow, subscriber, aLoad)) {
       continue;
     }
-    (NeedsFullReport(subscriber) ? due.m_reportRecipients
-                                 : due.m_loadRecipients)
-      .push_back(ip);
+    if (NeedsFullReport(subscriber)) {
+      due.m_reportRecipients.push_back(ip);
+    } else {
+      due.m_loadRecipients.push_back(ip);
+      // The full report may have been lost.
+      due.m_load.m_serviceTag =
+        subscriber.m_hasNamedAgent ? due.m_load.m_serviceTag : m_serviceTag;
+    }
     subscriber.m_reportedAt = aNow;
     subscriber.m_reportedLoad = aLoad;
     // If the report is lost, the next subscription shows what the balancer
--- a/packages/flow/ReportSchedule.h
+++ b/packages/flow/ReportSchedule.h
@@ -53,6 +53,8 @@
     ReportIntervals m_intervals;
     ServerLoad m_reportedLoad;
     bool m_hasAgentDetails = false;
+    /** Its last subscription named this agent's service tag. */
+    bool m_hasNamedAgent = false;
     /** Versions that the balancer has, or that were reported to it. */
     RoutesVersion m_routes = 0;
     StorePosition m_agents;
--- a/packages/flownode/AgentRegistrar.cpp
+++ b/packages/flownode/AgentRegistrar.cpp
@@ -129,7 +129,11 @@
         m_storedAt = {};
         return Remove();
       }
-      OnWriteFinished("agent-entry-removed", write, EntryState::Absent);
+      bool isMissing =
+        write && write->m_outcome == StoreWrite::Outcome::Missing;
+      OnWriteFinished(isMissing ? "agent-entry-absent" : "agent-entry-removed",
+                      write,
+                      EntryState::Absent);
     });
   };
   if (m_storedAt.IsKnown() && m_storedAt.m_era == m_store.Era()) {
--- a/packages/flownode/BalancerDaemon.cpp
+++ b/packages/flownode/BalancerDaemon.cpp
@@ -565,8 +565,10 @@
     const AgentEntry& entry = m_core.Agents().FindAt(ip)->m_entry;
     RemoveEntry(
       m_store.Client(), entry, [ip](const Result<StoreWrite>& aWrite) {
+        bool isRemoved =
+          aWrite && aWrite->m_outcome == StoreWrite::Outcome::Stored;
         Log(aWrite ? LogLevel::Info : LogLevel::Warning,
-            "stale-entry-removed",
+            isRemoved ? "stale-entry-removed" : "stale-entry-kept",
             { { "agent", IpToText(ip) },
               { "detail", aWrite ? "" : aWrite.error().m_detail } });
       });
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -1,6 +1,7 @@
 #include "FlowAgent.h"
 #include "FlowBalancer.h"
 #include "FlowSamples.h"
+#include "ReportSchedule.h"
 
 #include <criterion/criterion.h>
 
@@ -210,3 +211,32 @@
   cr_assert_eq(peer.FindAt(kFirst)->m_entry.m_service, "desk");
   cr_assert(peer.FindAt(kSecond));
 }
+
+// Guards against a server that is gone and seems to report: the full report of
+// the next agent at its address was lost, and the load reports after it were
+// taken for the earlier agent's.
+Test(AgentIdentity, ALoadReportOfTheNextAgentIsNotTakenForTheEarlierOnes)
+{
+  RunningBalancer site;
+  site.Agents().OnReport(site.m_now, ReportOf("desk", kFirst));
+  ReportSchedule schedule(ReportOf("archive", kFirst), site.m_now);
+  Subscribe subscription;
+  subscription.m_reportedTag = ServiceTag("desk");
+  schedule.OnSubscribe(site.m_now, 1, subscription);
+  ServerLoad load = ReportOf("archive", kFirst).m_load;
+  cr_assert_eq(schedule.OnTick(site.m_now, load).m_reportRecipients.size(), 1);
+  for (int i = 0; i < 10; ++i) {
+    site.m_now += Milliseconds(100);
+    DueReports due = schedule.OnTick(site.m_now, load);
+    cr_assert_eq(due.m_loadRecipients.size(), 1);
+    site.Agents().OnLoad(site.m_now, kFirst, due.m_load);
+  }
+  cr_assert_eq(site.CandidatesOf("desk"), 0);
+  // The balancer asks for the report.
+  cr_assert_not(site.Agents().FindAt(kFirst)->m_lastSubscription.has_value());
+  // Once the balancer has named the agent, its reports are short again.
+  subscription.m_reportedTag = ServiceTag("archive");
+  schedule.OnSubscribe(site.m_now, 1, subscription);
+  site.m_now += Milliseconds(100);
+  cr_assert_eq(schedule.OnTick(site.m_now, load).m_load.m_serviceTag, 0);
+}
