--- a/test/performance/FlowCosts.cpp
+++ b/test/performance/FlowCosts.cpp
@@ -224,7 +224,8 @@
     for (uint32_t ip : query.m_queriedAgents) {
       bool isOwner = ip == query.m_queriedAgents.back();
       FlowAnswer answer{ query.m_flow,
-                         isOwner ? FlowOwnership::Yes : FlowOwnership::No };
+                         isOwner ? FlowOwnership::Yes : FlowOwnership::No,
+                         balancer.Core().Agents().FindAt(ip)->m_serviceTag };
       std::string text = EncodeFlowMessage(answer);
       bytes += text.size();
       Result<FlowMessage> message = DecodeFlowMessage(text, "peer");
