Let one pair of test samples serve the tests of reused addresses

Cause: two test files made the same report and entry of an agent of any service, two others a part of it.

Change: ReportOf and EntryOf stand in FlowSamples.h. The tests keep their assertions; no program is touched.

--- a/test/FlowSamples.h
+++ b/test/FlowSamples.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AgentList.h"
 #include "FlowMessages.h"
 #include "RouteTable.h"
 
@@ -33,6 +34,22 @@
   return report;
 }
 
+/** The same of an agent of another service in failure domain "a". */
+inline AgentReport
+ReportOf(const std::string& aService, uint32_t aIp)
+{
+  AgentReport report = ReadyReport({ aIp, 8000 }, "a");
+  report.m_service = aService;
+  return report;
+}
+
+/** The store's entry of the agent with that report. */
+inline AgentEntry
+EntryOf(const std::string& aService, uint32_t aIp)
+{
+  return { aService, "a", { aIp, 8000 } };
+}
+
 /** A SYN to "desk" as an agent receives it. */
 inline PacketHeader
 SynPacket()
--- a/test/correctness/AgentIdentity.cpp
+++ b/test/correctness/AgentIdentity.cpp
@@ -12,20 +12,6 @@
 constexpr uint32_t kFirst = 0x0A010001;
 constexpr uint32_t kSecond = 0x0A010002;
 
-AgentReport
-ReportOf(const std::string& aService, uint32_t aIp)
-{
-  AgentReport report = ReadyReport({ aIp, 8000 }, "a");
-  report.m_service = aService;
-  return report;
-}
-
-AgentEntry
-EntryOf(const std::string& aService, uint32_t aIp)
-{
-  return { aService, "a", { aIp, 8000 } };
-}
-
 /** A packet of an open flow that no balancer knows. */
 PacketHeader
 FlowPacket()
--- a/test/correctness/MovedRoutes.cpp
+++ b/test/correctness/MovedRoutes.cpp
@@ -228,9 +228,7 @@
     { kOtherAgent, "desk" }, { kCurrentAgent, "desk-next" }
   };
   for (const auto& [ip, service] : kServices) {
-    AgentReport report = ReadyReport({ ip, 8000 }, "a");
-    report.m_service = service;
-    site.m_balancer.Agents().OnReport(site.m_now, report);
+    site.m_balancer.Agents().OnReport(site.m_now, ReportOf(service, ip));
   }
   PacketHeader syn = SynPacket();
   site.Record(site.m_balancer.OnCallerPacket(site.m_now, syn, {}));
--- a/test/correctness/ReusedAddresses.cpp
+++ b/test/correctness/ReusedAddresses.cpp
@@ -13,20 +13,6 @@
 /** Time after which a caller sends its SYN packet again. */
 constexpr Duration kCopyAfter = Milliseconds(200);
 
-AgentReport
-ReportOf(const std::string& aService, uint32_t aIp)
-{
-  AgentReport report = ReadyReport({ aIp, 8000 }, "a");
-  report.m_service = aService;
-  return report;
-}
-
-AgentEntry
-EntryOf(const std::string& aService, uint32_t aIp)
-{
-  return { aService, "a", { aIp, 8000 } };
-}
-
 /** A balancer that has just started and has read the entries of two agents of
  * "desk" that it has not heard. */
 struct StartedBalancer
--- a/test/correctness/SilentAgents.cpp
+++ b/test/correctness/SilentAgents.cpp
@@ -61,9 +61,8 @@
   balancer.m_balancer.SetRoutes(routes);
   balancer.m_balancer.Agents().SetListed(
     balancer.m_now, { 1, 1 }, { { "images", "a", { kUnsubscribed, 8000 } } });
-  AgentReport report = ReadyReport({ kUnsubscribed, 8000 }, "a");
-  report.m_service = "images";
-  balancer.m_balancer.Agents().OnReport(balancer.m_now, report);
+  balancer.m_balancer.Agents().OnReport(balancer.m_now,
+                                        ReportOf("images", kUnsubscribed));
   balancer.m_now += Milliseconds(1);
   PacketHeader syn = SynPacket();
   syn.m_destination = images;
